--- /dev/null
+++ b/oleanderbay/gateway/load.py
@@ -0,0 +1,46 @@
+"""Requests in flight at workers, summed over all gateways."""
+
+import collections
+from collections.abc import Mapping
+
+
+class Load:
+    """Counts requests in flight.
+
+    Attributes:
+        own: Requests of this gateway by worker id.
+        others: Requests of the peers by worker id.
+    """
+
+    def __init__(self) -> None:
+        self.own: collections.Counter[str] = collections.Counter()
+        self.others: collections.Counter[str] = collections.Counter()
+        self._by_peer: dict[str, Mapping[str, int]] = {}
+
+    def started(self, worker_id: str) -> None:
+        """Counts a request that is being sent."""
+        self.own[worker_id] += 1
+
+    def finished(self, worker_id: str) -> None:
+        """Counts the end of a request."""
+        self.own[worker_id] -= 1
+        if self.own[worker_id] <= 0:
+            del self.own[worker_id]
+
+    def at(self, worker_id: str) -> int:
+        """Returns the requests in flight at a worker."""
+        return self.own[worker_id] + self.others[worker_id]
+
+    def told(self, peer_id: str, counts: Mapping[str, int]) -> None:
+        """Takes the counts of a peer in place of its earlier ones."""
+        self.others.subtract(self._by_peer.pop(peer_id, {}))
+        if counts:
+            self._by_peer[peer_id] = counts
+            self.others.update(counts)
+        self.others = +self.others
+
+    def keep(self, peer_ids: frozenset[str]) -> None:
+        """Forgets the counts of all other peers."""
+        for peer_id in tuple(self._by_peer):
+            if peer_id not in peer_ids:
+                self.told(peer_id, {})
--- /dev/null
+++ b/oleanderbay/gateway/settings.py
@@ -0,0 +1,235 @@
+"""The checked settings of one gateway."""
+
+import dataclasses
+import pathlib
+from typing import Any
+
+import json5
+
+from oleanderbay.process import checker
+
+MAX_FILE_BYTES = 1_048_576
+
+
+class SettingsError(Exception):
+    """The settings can't be used.
+
+    Attributes:
+        mistakes: Every mistake that was found.
+    """
+
+    def __init__(self, mistakes: tuple[checker.Mistake, ...]) -> None:
+        super().__init__("; ".join(str(mistake) for mistake in mistakes))
+        self.mistakes = mistakes
+
+
+def _field(
+    default: Any = dataclasses.MISSING,
+    *,
+    low: float | None = None,
+    high: float | None = None,
+    choices: tuple[str, ...] = (),
+    empty: bool = True,
+) -> Any:
+    limits = {"low": low, "high": high, "choices": choices, "empty": empty}
+    return dataclasses.field(default=default, metadata=limits)
+
+
+def _ms(default: int, low: int = 1, high: int = 3_600_000) -> Any:
+    return _field(default, low=low, high=high)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EntrySettings:
+    """Who this gateway is.
+
+    Attributes:
+        id: Unique id.
+        zone: Its availability zone.
+        host: IP address that peers reach it at.
+    """
+
+    id: str = _field(empty=False)
+    zone: str = _field(empty=False)
+    host: str = _field(empty=False)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ListenerSettings:
+    """Addresses to listen on, each `host:port`.
+
+    Attributes:
+        callers: For callers' requests.
+        readiness: For readiness, status and metrics.
+        directory: For callers that ask where to connect; empty if this
+            gateway does not answer them.
+    """
+
+    callers: str = _field(empty=False)
+    readiness: str = _field(empty=False)
+    directory: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PeerSettings:
+    """Messages between gateways.
+
+    Attributes:
+        port: Port of all gateways, for UDP and TCP.
+        seeds: Hosts of some gateways; they may be stale.
+        heartbeat_ms: Time between heartbeats.
+        live_ms: Time after which a silent peer is left out.
+        forget_ms: Time after which a silent peer no longer counts towards
+            the shares of global limits.
+    """
+
+    port: int = _field(low=1, high=65_535)
+    seeds: tuple[str, ...] = ()
+    heartbeat_ms: int = _ms(200)
+    live_ms: int = _ms(1_500)
+    forget_ms: int = _ms(6_000)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreSettings:
+    """The shared metadata store.
+
+    Attributes:
+        address: `host:port` of the store.
+        partitions: Partitions of a topic.
+        timeout_ms: Time for one call, without the wait of a read.
+        wait_ms: How long a read of the configuration waits there.
+        worker_interval_ms: Time between reads of the workers' records.
+        ownership_ttl_ms: Time after which a silent owner loses its domains.
+        join_interval_ms: Time between confirmations of ownership.
+    """
+
+    address: str = _field(empty=False)
+    partitions: int = _field(1, low=1, high=10_000)
+    timeout_ms: int = _ms(500)
+    wait_ms: int = _ms(1_000, low=0)
+    worker_interval_ms: int = _ms(400)
+    ownership_ttl_ms: int = _ms(1_500)
+    join_interval_ms: int = _ms(500)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WorkerSettings:
+    """Connections and orders to workers.
+
+    Attributes:
+        connect_timeout_ms: Time to establish a connection.
+        order_timeout_ms: Time for the answer to an order.
+        stall_ms: Time after which a group with a lost member is broken.
+        heartbeat_ms: Time between two records of a worker.
+        max_answer_bytes: Largest answer that is held in memory.
+        max_event_bytes: Largest event of a stream.
+    """
+
+    connect_timeout_ms: int = _ms(250)
+    order_timeout_ms: int = _ms(600)
+    stall_ms: int = _ms(6_000)
+    heartbeat_ms: int = _ms(1_200)
+    max_answer_bytes: int = _field(8_388_608, low=1_024, high=1 << 30)
+    max_event_bytes: int = _field(262_144, low=256, high=1 << 24)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LimitSettings:
+    """Limits that all gateways keep together.
+
+    Attributes:
+        retry_ratio: Repeats as a share of requests.
+        retry_extra: Repeats in addition, in one window.
+        retry_window_ms: The window in which repeats are counted.
+        load_window_ms: The window in which loads are counted.
+    """
+
+    retry_ratio: float = _field(0.2, low=0.0, high=10.0)
+    retry_extra: int = _field(10, low=0, high=1_000_000)
+    retry_window_ms: int = _ms(10_000)
+    load_window_ms: int = _ms(5_000)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StopSettings:
+    """Graceful shutdown.
+
+    Attributes:
+        grace_ms: Time from the signal to the end of the process.
+        directory_ttl_ms: How long callers may keep a directory answer.
+        kept_factor: How many times that some callers keep it.
+    """
+
+    grace_ms: int = _ms(8_000)
+    directory_ttl_ms: int = _ms(1_000)
+    kept_factor: int = _field(3, low=1, high=10)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LoggingSettings:
+    """Logs on standard error.
+
+    Attributes:
+        level: Lowest level that is written.
+    """
+
+    level: str = _field(
+        "info", choices=("debug", "info", "warning", "error", "critical")
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Settings:
+    """All settings of a gateway."""
+
+    entry: EntrySettings
+    listeners: ListenerSettings
+    peers: PeerSettings
+    store: StoreSettings
+    workers: WorkerSettings = WorkerSettings()
+    limits: LimitSettings = LimitSettings()
+    stop: StopSettings = StopSettings()
+    logging: LoggingSettings = LoggingSettings()
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Reads and checks a settings file.
+
+    Raises:
+        SettingsError: The file can't be read or holds mistakes.
+    """
+    try:
+        with path.open(encoding="utf-8") as file:
+            text = file.read(MAX_FILE_BYTES)
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            (checker.Mistake("(file)", 0, str(error), "a readable file"),)
+        ) from error
+    return parse(text)
+
+
+def parse(text: str) -> Settings:
+    """Checks the text of a settings file.
+
+    Raises:
+        SettingsError: With every mistake of the text.
+    """
+    try:
+        tree = json5.loads(text, allow_duplicate_keys=False)
+    except (ValueError, RecursionError) as error:
+        raise SettingsError(
+            (checker.Mistake("(file)", 0, str(error), "JSON with comments"),)
+        ) from error
+    check_run = checker.Checker(text)
+    checked = check_run.section(Settings, tree, ())
+    if check_run.mistakes:
+        raise SettingsError(tuple(check_run.mistakes))
+    assert isinstance(checked, Settings)
+    return checked
+
+
+def host_port(address: str) -> tuple[str, int]:
+    """Splits `host:port`."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/oleanderbay/gateway/state.py
@@ -0,0 +1,125 @@
+"""The configuration in force and the fleet of workers."""
+
+from collections.abc import Iterable
+
+import structlog
+
+from oleanderbay.gateway import interfaces, table, workers
+from oleanderbay.process import clock as clocks
+
+log = structlog.get_logger()
+
+
+class State:
+    """What the store says, as far as this gateway has read it.
+
+    Attributes:
+        table: Configuration in force; None before the first one.
+        table_offset: Offset of its record.
+        evacuated: Zones whose workers get nothing new.
+        workers: Workers by id.
+        cold_until_ms: Monotonic time until which a worker is cold, by id.
+        revision: Rises with each change of the workers.
+        skipped: Number of records that could not be read.
+    """
+
+    def __init__(
+        self, decoder: interfaces.Decoder, clock: clocks.Clock
+    ) -> None:
+        self.decoder = decoder
+        self.clock = clock
+        self.table: table.RoutingTable | None = None
+        self.table_offset = -1
+        self.evacuated: frozenset[str] = frozenset()
+        self.workers: dict[str, workers.Worker] = {}
+        self.cold_until_ms: dict[str, int] = {}
+        self.revision = 0
+        self.skipped = 0
+        self._logged: set[str] = set()
+        self._groups: dict[tuple[str, int], workers.Group] = {}
+        self._groups_revision = -1
+        self._by_service: dict[str, tuple[workers.Worker, ...]] = {}
+        self._by_service_revision = -1
+
+    def configuration_changed(self, record: interfaces.KeyedRecord) -> None:
+        """Applies a record of the configuration's topic."""
+        if self.decoder.is_configuration(record.key):
+            self._configure(record)
+            return
+        zone = self.decoder.evacuated_zone(record.key)
+        if zone is None:
+            return
+        if record.value is None:
+            self.evacuated = self.evacuated - {zone}
+        else:
+            self.evacuated = self.evacuated | {zone}
+        self.revision += 1
+        log.info("zones without new work", zones=sorted(self.evacuated))
+
+    def worker_changed(self, record: interfaces.KeyedRecord) -> None:
+        """Applies a record of the workers' topic."""
+        if record.value is None:
+            if self.workers.pop(record.key, None) is not None:
+                self.revision += 1
+            self.cold_until_ms.pop(record.key, None)
+            return
+        worker = self.decoder.worker(record.key, record.value)
+        if isinstance(worker, str):
+            self._skip(record.key, worker)
+            if self.workers.pop(record.key, None) is not None:
+                self.revision += 1
+            return
+        if worker.cold_ms > 0:
+            self.cold_until_ms[worker.id] = self.clock.now_ms() + worker.cold_ms
+        else:
+            self.cold_until_ms.pop(worker.id, None)
+        if self.workers.get(worker.id) != worker:
+            self.workers[worker.id] = worker
+            self.revision += 1
+
+    def groups(self) -> dict[tuple[str, int], workers.Group]:
+        """Returns the groups that the workers report, by name and epoch."""
+        if self._groups_revision != self.revision:
+            self._groups = workers.groups_of(self.workers.values())
+            self._groups_revision = self.revision
+        return self._groups
+
+    def of_service(self, name: str) -> Iterable[workers.Worker]:
+        """Returns the workers of a service."""
+        if self._by_service_revision != self.revision:
+            found: dict[str, list[workers.Worker]] = {}
+            for worker in self.workers.values():
+                found.setdefault(worker.service, []).append(worker)
+            self._by_service = {k: tuple(v) for k, v in found.items()}
+            self._by_service_revision = self.revision
+        return self._by_service.get(name, ())
+
+    def cold(self, worker: workers.Worker) -> bool:
+        """Whether a worker is in a cold start."""
+        until_ms = self.cold_until_ms.get(worker.id)
+        return until_ms is not None and self.clock.now_ms() < until_ms
+
+    def _configure(self, record: interfaces.KeyedRecord) -> None:
+        if record.value is None or record.offset <= self.table_offset:
+            return
+        made = self.decoder.table(record.value)
+        if isinstance(made, str):
+            self._skip(record.key, made)
+            return
+        if self.table is not None and made.version < self.table.version:
+            return
+        self.table = made
+        self.table_offset = record.offset
+        self.revision += 1
+        log.info(
+            "configuration in force",
+            version=made.version,
+            offset=record.offset,
+            routes=sum(len(routes) for routes in made.hosts.values()),
+        )
+
+    def _skip(self, key: str, reason: str) -> None:
+        self.skipped += 1
+        if key not in self._logged:
+            self._logged.add(key)
+            log.warning("record skipped", key=key, reason=reason)
--- /dev/null
+++ b/oleanderbay/platform/ingress.py
@@ -0,0 +1,146 @@
+"""Callers' requests and workers' answers in the platform's words."""
+
+from collections.abc import Mapping
+
+import multidict
+from aiohttp import web
+
+from oleanderbay.gateway import interfaces, table, workers
+from oleanderbay.platform import names
+
+# RFC 9110, section 7.6.1, and the older names still in use.
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+# Headers of a caller that the gateway consumes or sets itself.
+OWN = frozenset(
+    name.lower()
+    for name in (
+        "Authorization",
+        "Content-Length",
+        "Expect",
+        names.DEADLINE,
+        names.TEAM,
+        names.EXPECTED_WORKER,
+        names.PRIORITY,
+        names.RESUME,
+    )
+)
+MAX_DEADLINE_MS = 3_600_000
+
+
+class HeaderTranslator:
+    """Reads and writes the platform's headers."""
+
+    def call(
+        self, request: web.BaseRequest, body: bytes | None, arrived_ms: int
+    ) -> interfaces.Call | str:
+        """Reads a caller's request; a text says what is malformed."""
+        given = request.headers
+        request_id = given.get(names.REQUEST_ID, "")
+        try:
+            patience_ms = int(given.get(names.DEADLINE, "0") or 0)
+            prompt, _, output = given.get(names.TOKENS, "").partition(",")
+            resume_after = int(given.get(names.RESUME, "-1") or -1)
+            return interfaces.Call(
+                id=request_id,
+                method=request.method,
+                host=given.get("Host", "").lower(),
+                target=request.raw_path,
+                headers=_end_to_end(given, OWN),
+                body=body,
+                key=_key(given.get("Authorization", "")),
+                patience_ms=min(max(0, patience_ms), MAX_DEADLINE_MS),
+                model=given.get(names.MODEL, ""),
+                prompt_tokens=int(prompt or 0),
+                output_tokens=int(output or 0),
+                resume_after=resume_after,
+                arrived_ms=arrived_ms,
+            )
+        except ValueError as error:
+            return str(error)
+
+    def headers(
+        self,
+        call: interfaces.Call,
+        worker: workers.Worker,
+        team: table.Team | None,
+        left_ms: int,
+        priority: int | None,
+        resume_after: int,
+    ) -> multidict.CIMultiDict[str]:
+        """Returns the headers of a request to a worker."""
+        sent = call.headers.copy()
+        sent[names.DEADLINE] = str(left_ms)
+        sent[names.EXPECTED_WORKER] = worker.id
+        if team is not None:
+            sent[names.TEAM] = team.name
+        if priority is not None:
+            sent[names.PRIORITY] = str(min(9, max(0, priority)))
+        if resume_after >= 0:
+            sent[names.RESUME] = str(resume_after)
+        return sent
+
+    def verdict(
+        self, call: interfaces.Call, status: int, headers: Mapping[str, str]
+    ) -> interfaces.Verdict:
+        """Judges the head of a worker's answer."""
+        if status == 421:
+            return interfaces.Verdict.OTHER_WORKER
+        echoed = headers.get(names.REQUEST_ID, "")
+        if echoed and echoed != call.id:
+            return interfaces.Verdict.UNUSABLE
+        if names.NOT_RUN in headers:
+            return interfaces.Verdict.NOT_RUN
+        if 200 <= status < 300:
+            if (
+                not echoed
+                or names.SIGNATURE not in headers
+                or "Content-Encoding" in headers
+            ):
+                return interfaces.Verdict.UNUSABLE
+            return interfaces.Verdict.SUCCESS
+        return interfaces.Verdict.FAILURE
+
+    def refused_by(self, headers: Mapping[str, str]) -> str:
+        """Returns the id of the worker at fault; empty if it isn't told."""
+        return headers.get(names.AT_FAULT, "")
+
+    def answer_headers(
+        self, headers: "multidict.CIMultiDictProxy[str]"
+    ) -> multidict.CIMultiDict[str]:
+        """Returns the headers that are passed on to the caller."""
+        return _end_to_end(headers, frozenset(("content-length",)))
+
+
+def _end_to_end(
+    headers: "multidict.CIMultiDictProxy[str]", also: frozenset[str]
+) -> multidict.CIMultiDict[str]:
+    dropped = HOP_BY_HOP | also
+    named = headers.getall("Connection", ())
+    if named:
+        dropped = dropped | {
+            token.strip().lower() for v in named for token in v.split(",")
+        }
+    kept: multidict.CIMultiDict[str] = multidict.CIMultiDict()
+    for name, value in headers.items():
+        if name.lower() not in dropped:
+            kept.add(name, value)
+    return kept
+
+
+def _key(authorization: str) -> str | None:
+    scheme, _, key = authorization.partition(" ")
+    if scheme.lower() != "bearer" or not key.strip():
+        return None
+    return key.strip()
--- /dev/null
+++ b/oleanderbay/platform/names.py
@@ -0,0 +1,30 @@
+"""Names of the users' platform: headers, topics, keys and paths."""
+
+REQUEST_ID = "X-Request-Id"
+DEADLINE = "X-Deadline-Ms"
+MODEL = "X-Model"
+TOKENS = "X-Token-Counts"
+PREFIX = "X-Prompt-Prefix"
+RESUME = "Last-Event-Id"
+TEAM = "X-Tenant"
+EXPECTED_WORKER = "X-Expect-Instance"
+WORKER_ID = "X-Instance-Id"
+NOT_RUN = "X-Not-Executed"
+SIGNATURE = "X-Response-Seal"
+PRIORITY = "X-Request-Priority"
+AT_FAULT = "At-Server"
+
+CONFIGURATION_TOPIC = "keyed.op"
+WORKERS_TOPIC = "keyed.servers"
+GATEWAYS_TOPIC = "keyed.gateways"
+DOMAINS_TOPIC = "domains"
+OWNERS_GROUP = "domain-owners"
+
+CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+
+REPORT_PATH = "/report"
+ORDER_PATH = "/order"
+
+READY_PATH = "/readyz"
+DIRECTORY_PATH = "/resolve"
--- /dev/null
+++ b/oleanderbay/platform/orders.py
@@ -0,0 +1,161 @@
+"""Orders to the platform's workers, and their reports."""
+
+import json
+from collections.abc import Sequence
+from typing import Any
+
+import aiohttp
+
+from oleanderbay.gateway import interfaces, workers
+from oleanderbay.platform import names, records
+
+RESULTS = {
+    200: interfaces.OrderResult.DONE,
+    202: interfaces.OrderResult.BEGUN,
+    400: interfaces.OrderResult.REFUSED,
+    409: interfaces.OrderResult.CONFLICT,
+    412: interfaces.OrderResult.FENCED,
+    421: interfaces.OrderResult.REFUSED,
+    429: interfaces.OrderResult.REFUSED,
+    503: interfaces.OrderResult.REFUSED,
+}
+
+
+class HttpOrders:
+    """Gives orders over HTTP.
+
+    Attributes:
+        timeout_ms: Time for the answer to an order.
+        connect_timeout_ms: Time to establish a connection.
+    """
+
+    def __init__(self, timeout_ms: int, connect_timeout_ms: int) -> None:
+        self.timeout_ms = timeout_ms
+        self.connect_timeout_ms = connect_timeout_ms
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Opens the session; needs a running event loop."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def join(
+        self,
+        worker: workers.Worker,
+        fence: int,
+        group: str,
+        epoch: int,
+        model: str,
+        members: Sequence[str],
+    ) -> interfaces.OrderResult:
+        """Makes a worker a member of a group."""
+        return await self._order(
+            worker,
+            fence,
+            operation="join",
+            group=group,
+            epoch=epoch,
+            model=model,
+            members=list(members),
+        )
+
+    async def open(
+        self, worker: workers.Worker, fence: int, group: str, epoch: int
+    ) -> interfaces.OrderResult:
+        """Lets the head of a group serve."""
+        return await self._order(
+            worker, fence, operation="open", group=group, epoch=epoch
+        )
+
+    async def close_group(
+        self,
+        worker: workers.Worker,
+        fence: int,
+        group: str,
+        epoch: int,
+        abrupt: bool,
+    ) -> interfaces.OrderResult:
+        """Lets the head of a group stop serving."""
+        return await self._order(
+            worker,
+            fence,
+            operation="close",
+            group=group,
+            epoch=epoch,
+            close_mode="cutover" if abrupt else "queue",
+        )
+
+    async def leave(
+        self, worker: workers.Worker, fence: int, group: str, epoch: int
+    ) -> interfaces.OrderResult:
+        """Takes a worker out of a group."""
+        return await self._order(
+            worker, fence, operation="leave", group=group, epoch=epoch
+        )
+
+    async def stage(
+        self, worker: workers.Worker, fence: int, model: str
+    ) -> interfaces.OrderResult:
+        """Loads a model onto the worker's host."""
+        return await self._order(worker, fence, operation="stage", model=model)
+
+    async def report(
+        self, worker: workers.Worker, timeout_ms: int
+    ) -> interfaces.Report | interfaces.OrderResult:
+        """Asks a worker for its state."""
+        assert self._session is not None
+        try:
+            async with self._session.get(
+                f"http://{worker.address}{names.REPORT_PATH}",
+                headers={names.EXPECTED_WORKER: worker.id},
+                timeout=self._timeout(timeout_ms),
+            ) as response:
+                body = await response.read()
+                if response.status != 200:
+                    return RESULTS.get(
+                        response.status, interfaces.OrderResult.UNKNOWN
+                    )
+                return records.report(
+                    json.loads(body),
+                    response.headers.get(names.WORKER_ID, ""),
+                )
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return interfaces.OrderResult.UNREACHABLE
+        except records.MALFORMED:
+            return interfaces.OrderResult.UNKNOWN
+
+    async def _order(
+        self, worker: workers.Worker, fence: int, **body: Any
+    ) -> interfaces.OrderResult:
+        assert self._session is not None
+        try:
+            async with self._session.post(
+                f"http://{worker.address}{names.ORDER_PATH}",
+                data=json.dumps({**body, "fence": fence}).encode(),
+                headers={
+                    "Content-Type": "application/json",
+                    names.EXPECTED_WORKER: worker.id,
+                },
+                timeout=self._timeout(self.timeout_ms),
+            ) as response:
+                await response.read()
+                return RESULTS.get(
+                    response.status, interfaces.OrderResult.UNKNOWN
+                )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return interfaces.OrderResult.UNREACHABLE
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return interfaces.OrderResult.UNKNOWN
+
+    def _timeout(self, total_ms: int) -> aiohttp.ClientTimeout:
+        return aiohttp.ClientTimeout(
+            total=total_ms / 1000,
+            sock_connect=self.connect_timeout_ms / 1000,
+        )
--- a/oleanderbay/process/clock.py
+++ b/oleanderbay/process/clock.py
@@ -18,6 +18,10 @@
         """Returns ms since the Unix epoch; may jump."""
         ...
 
+    def boot_ms(self) -> int:
+        """Returns monotonic time in ms that also counts suspension."""
+        ...
+
     async def sleep_ms(self, delay_ms: float) -> None:
         """Waits for a number of ms."""
         ...
@@ -34,6 +38,10 @@
         """Returns ms since the Unix epoch."""
         return time.time_ns() // 1_000_000
 
+    def boot_ms(self) -> int:
+        """Returns monotonic time in ms that also counts suspension."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
     async def sleep_ms(self, delay_ms: float) -> None:
         """Waits for a number of ms."""
         await asyncio.sleep(max(0.0, delay_ms) / 1000)
@@ -60,6 +68,10 @@
         """Returns ms since the Unix epoch on this clock's timeline."""
         return self.epoch_ms + self._now_ms
 
+    def boot_ms(self) -> int:
+        """Returns ms since the clock was made."""
+        return self._now_ms
+
     async def sleep_ms(self, delay_ms: float) -> None:
         """Waits until `advance` has moved the clock far enough."""
         if delay_ms <= 0:
