--- a/oleanderbay/gateway/state.py
+++ b/oleanderbay/gateway/state.py
@@ -61,6 +61,7 @@
         if record.value is None:
             if self.workers.pop(record.key, None) is not None:
                 self.revision += 1
+                log.info("worker gone", worker=record.key)
             self.cold_until_ms.pop(record.key, None)
             return
         worker = self.decoder.worker(record.key, record.value)
@@ -73,7 +74,12 @@
             self.cold_until_ms[worker.id] = self.clock.now_ms() + worker.cold_ms
         else:
             self.cold_until_ms.pop(worker.id, None)
-        if self.workers.get(worker.id) != worker:
+        before = self.workers.get(worker.id)
+        if before is None or before.born_ms != worker.born_ms:
+            log.info(
+                "worker registered", worker=worker.id, domain=worker.domain
+            )
+        if before != worker:
             self.workers[worker.id] = worker
             self.revision += 1
 
