Keep warm spares in each domain and repair from them

Cause: leftovers of broken groups were turned to the other model by two loads of 12 to 22 s, which shared the weight store, so the larger model ran out of groups by second 20. Change: a fifth of a domain stays free and staged; after the first request groups form of warm workers only, and a cold worker loads the model that lacks spares.

--- a/oleanderbay/gateway/keeper.py
+++ b/oleanderbay/gateway/keeper.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import collections
-from collections.abc import Awaitable, Callable, Coroutine, Iterable, Mapping
+import math
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from typing import Any
 
 import structlog
@@ -41,6 +42,10 @@
 # Loads before the first request take this part of their time.
 EARLY_LOAD_SHARE = 0.1
 EPOCH_BITS = 16
+# Share of a domain's workers that are kept warm for repairs.
+SPARE_SHARE = 0.2
+# Spares are used for more capacity only above this pressure.
+ENOUGH_PRESSURE = 0.4
 
 SERVING = (workers.MemberState.OPEN, workers.MemberState.CLOSING)
 ACCEPTED = (interfaces.OrderResult.DONE, interfaces.OrderResult.BEGUN)
@@ -90,7 +95,7 @@
         self._busy: set[str] = set()
         self._heads: dict[Key, str] = {}
         self._headless_ms: dict[Key, int] = {}
-        self._staging: set[tuple[str, int]] = set()
+        self._staging: dict[tuple[str, int], str] = {}
         self._tasks: dict[object, asyncio.Task[None]] = {}
         self._first_seen_ms: dict[str, int] = {}
         self._counter = 0
@@ -155,16 +160,30 @@
         ]
         if not free or self._gathering(members):
             return
-        formed = planner.form(
-            free,
+        needs = self._needs(service, groups, own)
+        # Workers that have to load a model first are staged as spares, so
+        # that a later repair takes the time of a warm start.
+        max_loads = 0 if self.needs.begun else len(free)
+        spare = len(free)
+        reserve = math.ceil(SPARE_SHARE * len(members))
+        taken: set[str] = set()
+        for formation in planner.form(free, engine, needs, max_loads):
+            size = len(formation.members)
+            need = needs[formation.model.name]
+            if spare - size < reserve and not (
+                self.needs.begun
+                and need.demand > ENOUGH_PRESSURE * need.capacity
+            ):
+                continue
+            spare -= size
+            self._begin(service, formation)
+            taken |= {member.worker.id for member in formation.members}
+        self._stage(
             engine,
-            self._needs(service, groups, own),
-            self._loads_left(engine),
+            needs,
+            [item for item in free if item.worker.id not in taken],
+            members,
         )
-        for formation in formed:
-            self._begin(service, formation)
-        taken = {m.worker.id for f in formed for m in f.members}
-        self._stage(engine, [f for f in free if f.worker.id not in taken])
 
     def _review(self, engine: table.Engine, group: workers.Group) -> None:
         """Starts what an existing group needs."""
@@ -530,22 +549,45 @@
             log.info("worker answers again", worker=worker.id)
 
     def _stage(
-        self, engine: table.Engine, spare: Iterable[planner.Free]
+        self,
+        engine: table.Engine,
+        needs: Mapping[str, planner.Need],
+        spare: list[planner.Free],
+        members: list[workers.Worker],
     ) -> None:
-        """Loads the smallest model onto hosts that have none."""
-        if not engine.models or not self.needs.begun:
+        """Loads models onto hosts of spare workers that have none."""
+        cold = [
+            item.worker
+            for item in spare
+            if not item.worker.staged
+            and not item.worker.models
+            and (item.worker.id, item.worker.born_ms) not in self._staging
+        ]
+        if not cold:
             return
-        model = min(engine.models, key=lambda m: (m.size, m.load_ms))
-        for item in spare:
-            worker = item.worker
-            mark = (worker.id, worker.born_ms)
-            if worker.staged or worker.models or mark in self._staging:
-                continue
+        warm = collections.Counter(
+            model for item in spare for model in item.worker.staged
+        )
+        for worker in members:
+            staging = self._staging.get((worker.id, worker.born_ms))
+            if staging is not None and not worker.staged:
+                warm[staging] += 1
+        serving = collections.Counter(
+            worker.models[0]
+            for worker in members
+            if worker.membership is not None and worker.models
+        )
+        for worker in cold:
             if self._loads_left(engine) < 1:
                 return
-            self._staging.add(mark)
+            model = planner.spare_model(engine, needs, warm, serving)
+            warm[model.name] += 1
+            self._staging[worker.id, worker.born_ms] = model.name
             self._count_loads(1)
-            self._spawn(("stage", *mark), self._stage_one(worker, model))
+            self._spawn(
+                ("stage", worker.id, worker.born_ms),
+                self._stage_one(worker, model),
+            )
 
     async def _stage_one(
         self, worker: workers.Worker, model: table.Model
--- a/oleanderbay/gateway/planner.py
+++ b/oleanderbay/gateway/planner.py
@@ -7,6 +7,8 @@
 
 # Time for which a new group is expected to serve.
 HORIZON_MS = 30_000
+# Demand as a share of the capacity above which a model needs more groups.
+PRESSING = 0.7
 # Time to join again with the model of the last group.
 REJOIN_MS = 200
 
@@ -139,3 +141,34 @@
     pressure = demand / (capacity + engine.slots / 2)
     serving = max(0.0, HORIZON_MS - formation.ready_ms) / HORIZON_MS
     return pressure * serving / formation.model.size
+
+
+def spare_model(
+    engine: table.Engine,
+    needs: Mapping[str, Need],
+    warm: Mapping[str, int],
+    serving: Mapping[str, int],
+) -> table.Model:
+    """Returns the model that a spare worker without any should load.
+
+    A model under pressure comes first, then the one whose groups lose more
+    members for each spare that is warm for it.
+
+    Args:
+        engine: Figures of the engine.
+        needs: Demand and capacity by model.
+        warm: Spares that are warm for a model.
+        serving: Members of groups of a model.
+    """
+
+    def urgency(model: table.Model) -> tuple[float, float, int]:
+        need = needs.get(model.name, Need(0.0, 0.0))
+        pressure = need.demand / (need.capacity + engine.slots / 2)
+        exposed = serving.get(model.name, 0) / (1 + warm.get(model.name, 0))
+        return (
+            pressure if pressure > PRESSING else 0.0,
+            exposed,
+            model.size,
+        )
+
+    return max(engine.models, key=urgency)
