--- a/oleanderbay/gateway/keeper.py
+++ b/oleanderbay/gateway/keeper.py
@@ -165,6 +165,15 @@
         # that a later repair takes the time of a warm start.
         max_loads = 0 if self.needs.begun else len(free)
         spare = len(free)
+        log.debug(
+            "domain planned",
+            domain=members[0].domain,
+            free=spare,
+            needs={
+                name: (round(need.demand, 1), need.capacity)
+                for name, need in needs.items()
+            },
+        )
         reserve = math.ceil(SPARE_SHARE * len(members))
         taken: set[str] = set()
         for formation in planner.form(free, engine, needs, max_loads):
