Count members that are joining when spares are staged

Cause: at the start no worker had a model yet, so both spares of each domain loaded the larger model; groups of two that broke were not repaired and capacity of the smaller model fell from 108 to 45 slots. Change: members of a formation count as serving its model; under pressure free workers may load the other model.

--- a/oleanderbay/gateway/keeper.py
+++ b/oleanderbay/gateway/keeper.py
@@ -92,7 +92,8 @@
         self.closed: set[Key] = set()
         self.begun_loads: collections.deque[int] = collections.deque()
         self.told_loads: dict[str, int] = {}
-        self._busy: set[str] = set()
+        # Workers that are being made members, with the model.
+        self._busy: dict[str, str] = {}
         self._heads: dict[Key, str] = {}
         self._headless_ms: dict[Key, int] = {}
         self._staging: dict[tuple[str, int], str] = {}
@@ -163,7 +164,13 @@
         needs = self._needs(service, groups, own)
         # Workers that have to load a model first are staged as spares, so
         # that a later repair takes the time of a warm start.
-        max_loads = 0 if self.needs.begun else len(free)
+        pressing = any(
+            need.demand > planner.PRESSING * need.capacity
+            for need in needs.values()
+        )
+        max_loads = len(free)
+        if self.needs.begun:
+            max_loads = self._loads_left(engine) if pressing else 0
         spare = len(free)
         log.debug(
             "domain planned",
@@ -179,10 +186,13 @@
         for formation in planner.form(free, engine, needs, max_loads):
             size = len(formation.members)
             need = needs[formation.model.name]
-            if spare - size < reserve and not (
-                self.needs.begun
-                and need.demand > ENOUGH_PRESSURE * need.capacity
-            ):
+            enough = ENOUGH_PRESSURE
+            if formation.loads:
+                enough = planner.PRESSING
+            wanted = need.demand > enough * need.capacity
+            if self.needs.begun and formation.loads and not wanted:
+                continue
+            if spare - size < reserve and not (self.needs.begun and wanted):
                 continue
             spare -= size
             self._begin(service, formation)
@@ -343,7 +353,8 @@
         )
         key = (f"{self.name}-{epoch}", epoch)
         self.forming[key] = formation.model
-        self._busy |= {member.worker.id for member in formation.members}
+        for member in formation.members:
+            self._busy[member.worker.id] = formation.model.name
         self._count_loads(formation.loads)
         assert service.engine is not None
         self._spawn(key, self._form(service, key, formation))
@@ -385,7 +396,8 @@
             await self.clock.sleep_ms(2 * self.config.store.worker_interval_ms)
         finally:
             self.forming.pop(key, None)
-            self._busy -= {worker.id for worker in members}
+            for worker in members:
+                self._busy.pop(worker.id, None)
 
     async def _release_heads(self, members: list[workers.Worker]) -> None:
         """Takes heads of former groups out of them before the others.
@@ -582,9 +594,10 @@
             if staging is not None and not worker.staged:
                 warm[staging] += 1
         serving = collections.Counter(
-            worker.models[0]
+            self._busy.get(worker.id) or worker.models[0]
             for worker in members
-            if worker.membership is not None and worker.models
+            if worker.id in self._busy
+            or (worker.membership is not None and worker.models)
         )
         for worker in cold:
             if self._loads_left(engine) < 1:
