Convert surplus groups for a model under pressure

Cause: the greedy planner spent free workers on groups that were then not wanted, and domains with two or three free workers could not form a group of four although the other model had half of its slots free. Change: only wanted models are offered to the planner; the owner of a domain closes one group of a model that stays below a pressure of 0.6 without it.

--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -127,6 +127,7 @@
             self.demand,
             config,
             self.clock,
+            self.rng,
             self.start_id,
         )
         self.listeners = listener.Listeners(
--- a/oleanderbay/gateway/keeper.py
+++ b/oleanderbay/gateway/keeper.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import math
+import random
 from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from typing import Any
 
@@ -45,7 +46,11 @@
 # Share of a domain's workers that are kept warm for repairs.
 SPARE_SHARE = 0.2
 # Spares are used for more capacity only above this pressure.
-ENOUGH_PRESSURE = 0.4
+ENOUGH = 0.4
+# Pressure of a model below which it may give up a group, counted without it,
+# and how often the owner of a domain considers it.
+SURPLUS = 0.6
+SURPLUS_CHANCE = 0.04
 
 SERVING = (workers.MemberState.OPEN, workers.MemberState.CLOSING)
 ACCEPTED = (interfaces.OrderResult.DONE, interfaces.OrderResult.BEGUN)
@@ -77,6 +82,7 @@
         needs: demand.Demand,
         config: settings_module.Settings,
         clock: clocks.Clock,
+        rng: random.Random,
         name: str,
     ) -> None:
         self.known = known
@@ -87,6 +93,7 @@
         self.needs = needs
         self.config = config
         self.clock = clock
+        self.rng = rng
         self.name = name
         self.forming: dict[Key, table.Model] = {}
         self.closed: set[Key] = set()
@@ -159,42 +166,24 @@
             for worker in members
             if self._free(worker, groups)
         ]
-        if not free or self._gathering(members):
+        if self._gathering(members):
             return
         needs = self._needs(service, groups, own)
-        # Workers that have to load a model first are staged as spares, so
-        # that a later repair takes the time of a warm start.
-        pressing = any(
-            need.demand > planner.PRESSING * need.capacity
-            for need in needs.values()
-        )
-        max_loads = len(free)
-        if self.needs.begun:
-            max_loads = self._loads_left(engine) if pressing else 0
-        spare = len(free)
+        if self.needs.begun and self.rng.random() < SURPLUS_CHANCE:
+            self._convert(engine, needs, len(free), [groups[k] for k in own])
+        if not free:
+            return
         log.debug(
             "domain planned",
             domain=members[0].domain,
-            free=spare,
+            free=len(free),
             needs={
                 name: (round(need.demand, 1), need.capacity)
                 for name, need in needs.items()
             },
         )
-        reserve = math.ceil(SPARE_SHARE * len(members))
         taken: set[str] = set()
-        for formation in planner.form(free, engine, needs, max_loads):
-            size = len(formation.members)
-            need = needs[formation.model.name]
-            enough = ENOUGH_PRESSURE
-            if formation.loads:
-                enough = planner.PRESSING
-            wanted = need.demand > enough * need.capacity
-            if self.needs.begun and formation.loads and not wanted:
-                continue
-            if spare - size < reserve and not (self.needs.begun and wanted):
-                continue
-            spare -= size
+        for formation in self._formations(engine, free, needs, len(members)):
             self._begin(service, formation)
             taken |= {member.worker.id for member in formation.members}
         self._stage(
@@ -231,6 +220,41 @@
         ):
             self._adopt(group, model)
 
+    def _formations(
+        self,
+        engine: table.Engine,
+        free: list[planner.Free],
+        needs: Mapping[str, planner.Need],
+        size: int,
+    ) -> list[planner.Formation]:
+        """Returns the groups to form now in a domain of `size` workers.
+
+        Workers that have to load a model first are staged as spares, so that
+        a later repair takes the time of a warm start. Only a model under
+        pressure gets groups that have to load.
+        """
+        reserve = math.ceil(SPARE_SHARE * size)
+        if not self.needs.begun:
+            return planner.form(
+                free, engine, needs, len(free), len(free) - reserve
+            )
+        enough = {n for n, need in needs.items() if need.above(ENOUGH)}
+        formed = planner.form(
+            free, engine, needs, 0, len(free) - reserve, enough
+        )
+        taken = {member for f in formed for member in f.members}
+        left = [item for item in free if item not in taken]
+        pressing = {
+            name: need
+            for name, need in needs.items()
+            if need.above(planner.PRESSING)
+        }
+        if pressing and left:
+            formed += planner.form(
+                left, engine, pressing, self._loads_left(engine)
+            )
+        return formed
+
     def _gathering(self, members: list[workers.Worker]) -> bool:
         """Whether a domain's workers are still coming in at the start.
 
@@ -569,6 +593,44 @@
             self.evidence.lost.pop(worker.id, None)
             log.info("worker answers again", worker=worker.id)
 
+    def _convert(
+        self,
+        engine: table.Engine,
+        needs: Mapping[str, planner.Need],
+        free: int,
+        groups: list[workers.Group],
+    ) -> None:
+        """Closes a group whose workers a model under pressure needs more.
+
+        Owners of other domains see the same pressures, so each looks only
+        now and then; the next one counts what was begun.
+        """
+        pressing = max(
+            (m for m in engine.models if needs[m.name].above(planner.PRESSING)),
+            key=lambda m: needs[m.name].demand / (needs[m.name].capacity + 1),
+            default=None,
+        )
+        if pressing is None or self._loads_left(engine) < pressing.size:
+            return
+        able = []
+        for group in groups:
+            model = engine.model(group.model)
+            if model is None or model is pressing or not group.open:
+                continue
+            if ("close", (group.name, group.epoch)) in self._tasks:
+                return
+            need = needs[model.name]
+            rest = planner.Need(need.demand, need.capacity - engine.slots)
+            if rest.above(SURPLUS) or free + model.size < pressing.size:
+                continue
+            able.append(group)
+        if able:
+            least = min(able, key=lambda g: self.loads.at(g.members[0].id))
+            log.info("group converted", group=least.name, model=pressing.name)
+            self._spawn(
+                ("close", (least.name, least.epoch)), self._close(least, True)
+            )
+
     def _stage(
         self,
         engine: table.Engine,
--- a/oleanderbay/gateway/planner.py
+++ b/oleanderbay/gateway/planner.py
@@ -1,7 +1,7 @@
 """Which groups to form from the free workers of one domain."""
 
 import dataclasses
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from oleanderbay.gateway import table, workers
 
@@ -55,6 +55,10 @@
     demand: float
     capacity: float
 
+    def above(self, pressure: float) -> bool:
+        """Whether the demand exceeds a share of the capacity."""
+        return self.demand > pressure * self.capacity
+
 
 def join_ms(free: Free, model: table.Model) -> int:
     """Returns the time that a worker needs to be ready for a model."""
@@ -70,6 +74,8 @@
     engine: table.Engine,
     needs: Mapping[str, Need],
     max_loads: int,
+    max_workers: int | None = None,
+    unbounded: Collection[str] = (),
 ) -> list[Formation]:
     """Forms groups greedily, the most useful one first.
 
@@ -79,10 +85,13 @@
     Args:
         free: The free workers of one domain.
         engine: Figures of their engine.
-        needs: Demand and capacity by model.
+        needs: Demand and capacity by model; others get no group.
         max_loads: Loads from the weight store that may begin now.
+        max_workers: Workers that may be used; all by default.
+        unbounded: Models that may use all workers.
     """
     left = list(free)
+    budget = len(left) if max_workers is None else max_workers
     capacity = {name: need.capacity for name, need in needs.items()}
     formed: list[Formation] = []
     while True:
@@ -92,7 +101,11 @@
             candidate = _candidate(left, model)
             if candidate is None or candidate.loads > max_loads:
                 continue
-            need = needs.get(model.name, Need(0.0, 0.0))
+            if model.name not in needs or (
+                model.size > budget and model.name not in unbounded
+            ):
+                continue
+            need = needs[model.name]
             use = _use(
                 candidate, need.demand, capacity.get(model.name, 0.0), engine
             )
@@ -102,6 +115,7 @@
             return formed
         formed.append(best)
         max_loads -= best.loads
+        budget -= best.model.size
         name = best.model.name
         capacity[name] = capacity.get(name, 0.0) + engine.slots
         left = [item for item in left if item not in best.members]
