Pin the gateway's own packages in requirements.txt

Cause: a gateway's instance would install the development tools, gRPC, protobuf and the exporters, which its program does not import.

`make lock` copies the entries of these packages and of all that they depend on from requirements.lock to requirements.txt, so that versions and hashes are the tested ones.

--- a/Makefile
+++ b/Makefile
@@ -51,8 +51,10 @@
 	$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. \
 	  oleanderbay/schema/operators.proto
 
-# Regenerates the pinned dependencies; needs pip-tools in the environment.
+# Regenerates the pinned dependencies, and from them those of the gateway
+# alone; needs pip-tools in the environment.
 lock:
 	CUSTOM_COMPILE_COMMAND="make lock" pip-compile -q --extra dev --generate-hashes --allow-unsafe \
 	  --no-emit-index-url --no-emit-find-links --no-emit-trusted-host \
 	  --strip-extras -o requirements.lock pyproject.toml
+	$(PYTHON) -m scripts.gateway_requirements
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Maintenance commands of the repository."""
