Move the adapters to the project's own stand-ins to oleanderbay.native

Cause: oleanderbay.platform held two adapters: the one to the users' platform, and those to the protocols of the project's own stand-ins.

Change: engine_http, instances_http, log_http, weights_http and interfaces move with their tests. Importers call the interfaces `native` instead of `platform`. The protocols and the behaviour are the same.

--- a/bench/failure_fleet.py
+++ b/bench/failure_fleet.py
@@ -13,7 +13,7 @@
 from bench import processes
 from oleanderbay.checks import invariants
 from oleanderbay.checks import records as checks
-from oleanderbay.platform import log_http
+from oleanderbay.native import log_http
 from oleanderbay.process import clock as clocks
 from oleanderbay.schema import operators_pb2, operators_pb2_grpc
 from oleanderbay.standins import callers, evidence
--- a/bench/fakes_requests.py
+++ b/bench/fakes_requests.py
@@ -11,7 +11,7 @@
 import msgpack
 import xxhash
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
 
@@ -316,34 +316,34 @@
     ) -> int:
         await asyncio.sleep(0)
         if self.down:
-            raise platform.PlatformUnavailableError("down")
+            raise native.PlatformUnavailableError("down")
         self.appends += 1
         if self.lost_before:
             self.lost_before -= 1
-            raise platform.PlatformUnknownError("no answer")
+            raise native.PlatformUnknownError("no answer")
         records = self.streams.setdefault(stream, [])
         records.append(data)
         offset = len(records)
         await asyncio.sleep(0)
         if self.lose:
             self.lose -= 1
-            raise platform.PlatformUnknownError("answer lost")
+            raise native.PlatformUnknownError("answer lost")
         return offset
 
     async def read(
         self, stream: str, start: int, limit: int, wait_ms: int, timeout_ms: int
-    ) -> platform.LogPage:
+    ) -> native.LogPage:
         await asyncio.sleep(0)
         if self.down:
-            raise platform.PlatformUnavailableError("down")
+            raise native.PlatformUnavailableError("down")
         self.reads += 1
         if start < self.first:
-            raise platform.RecordsExpiredError(self.first)
+            raise native.RecordsExpiredError(self.first)
         records = self.streams.get(stream, [])
         part = records[start - 1 : start - 1 + limit]
-        return platform.LogPage(
+        return native.LogPage(
             records=tuple(
-                platform.LogRecord(start + index, data)
+                native.LogRecord(start + index, data)
                 for index, data in enumerate(part)
             ),
             first=self.first,
--- a/bench/loops_requests.py
+++ b/bench/loops_requests.py
@@ -9,7 +9,7 @@
 
 from bench import fakes_requests as fakes
 from bench import naive_requests as naive
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces, permits
 from oleanderbay.request import admission, outcome, prefixes, routing
@@ -154,7 +154,7 @@
         self.asked = 0
         self.counts: collections.Counter[str] = collections.Counter()
         self.resyncs = 0
-        self.late: collections.deque[tuple[str, platform.CacheEvent]] = (
+        self.late: collections.deque[tuple[str, native.CacheEvent]] = (
             collections.deque()
         )
 
@@ -181,7 +181,7 @@
             self.sequences[id] += 1
             # Events are late by 200 requests; one in a hundred is lost.
             if self.rng.random() >= 0.01:
-                event = platform.CacheEvent(
+                event = native.CacheEvent(
                     sequence=self.sequences[id],
                     added=tuple(added),
                     removed=tuple(removed),
--- a/bench/replication.py
+++ b/bench/replication.py
@@ -13,8 +13,8 @@
 
 from bench import harness
 from oleanderbay.connection import frames
-from oleanderbay.platform import interfaces as platform
-from oleanderbay.platform import log_http
+from oleanderbay.native import interfaces as native
+from oleanderbay.native import log_http
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import (
     heartbeats,
@@ -41,7 +41,7 @@
 class CutLog:
     """A way to the log that can be cut."""
 
-    def __init__(self, log_service: platform.LogService) -> None:
+    def __init__(self, log_service: native.LogService) -> None:
         self.cut = False
         self._log_service = log_service
 
@@ -57,7 +57,7 @@
         limit: int,
         wait_ms: int,
         timeout_ms: int,
-    ) -> platform.LogPage:
+    ) -> native.LogPage:
         """Reads unless cut."""
         self._check()
         page = await self._log_service.read(
@@ -68,7 +68,7 @@
 
     def _check(self) -> None:
         if self.cut:
-            raise platform.PlatformUnavailableError("cut off from the log")
+            raise native.PlatformUnavailableError("cut off from the log")
 
 
 class Fleet:
--- a/bench/serving_parts.py
+++ b/bench/serving_parts.py
@@ -13,7 +13,7 @@
 import aiohttp
 from aiohttp import web
 
-from oleanderbay.platform import interfaces
+from oleanderbay.native import interfaces
 from oleanderbay.process import clock as clocks
 from oleanderbay.standins import engine, engine_state, instances, log
 
--- a/oleanderbay/cli/upstreams.py
+++ b/oleanderbay/cli/upstreams.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from oleanderbay.platform import instances_http, interfaces
+from oleanderbay.native import instances_http, interfaces
 from oleanderbay.standins import engine, engine_state, plain, weights
 
 ANNOUNCE_TIMEOUT_MS = 2_000
--- /dev/null
+++ b/oleanderbay/native/__init__.py
@@ -0,0 +1,1 @@
+"""The services of the project's own protocols, with their adapters."""
--- a/oleanderbay/platform/engine_http.py
+++ b/oleanderbay/native/engine_http.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from oleanderbay.platform import interfaces
+from oleanderbay.native import interfaces
 
 REPORT_FIELDS = frozenset(
     field.name for field in dataclasses.fields(interfaces.EngineReport)
@@ -128,7 +128,7 @@
 
 
 class Call:
-    """One HTTP exchange whose faults become the platform's errors.
+    """One HTTP exchange whose faults become errors of `interfaces`.
 
     A connection that cannot be opened means that nothing was sent; any later
     fault leaves the effect unknown.
--- a/oleanderbay/platform/instances_http.py
+++ b/oleanderbay/native/instances_http.py
@@ -1,4 +1,4 @@
-"""The platform's instance list over HTTP.
+"""The instance list over HTTP.
 
 `GET /instances` answers a JSON list of lines; `PUT /instances/{id}` adds or
 replaces one.
@@ -11,7 +11,7 @@
 
 import aiohttp
 
-from oleanderbay.platform import interfaces, log_http
+from oleanderbay.native import interfaces, log_http
 
 
 class HttpInstanceList:
--- a/oleanderbay/platform/interfaces.py
+++ b/oleanderbay/native/interfaces.py
@@ -1,4 +1,4 @@
-"""The platform's services as Protocol types, with their data and errors."""
+"""Services that an entry needs, as Protocol types with data and errors."""
 
 import dataclasses
 import enum
--- a/oleanderbay/platform/log_http.py
+++ b/oleanderbay/native/log_http.py
@@ -1,4 +1,4 @@
-"""The platform's log service over HTTP.
+"""The log service over HTTP.
 
 `POST /streams/{stream}/records` appends the request body and answers
 `{"offset": n}`. `GET /streams/{stream}/records?start=&limit=&wait_ms=`
@@ -12,7 +12,7 @@
 import aiohttp
 import msgpack
 
-from oleanderbay.platform import interfaces
+from oleanderbay.native import interfaces
 
 # A server that answers with one of these has not carried out the request.
 # Other 5xx statuses may come from something between the two ends, after the
--- a/oleanderbay/platform/weights_http.py
+++ b/oleanderbay/native/weights_http.py
@@ -2,7 +2,7 @@
 
 import aiohttp
 
-from oleanderbay.platform import engine_http, interfaces
+from oleanderbay.native import engine_http, interfaces
 
 
 class HttpWeightStore:
--- a/oleanderbay/platform/__init__.py
+++ b/oleanderbay/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The platform's services as oleanderbay uses them."""
+"""The adapter to the users' platform; it makes no decisions."""
--- a/oleanderbay/process/appender.py
+++ b/oleanderbay/process/appender.py
@@ -8,7 +8,7 @@
 import msgpack
 import structlog
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import budget as budgets
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import deadline
@@ -23,7 +23,7 @@
 RATE_WINDOW_MS = 1_000
 
 
-class AppendBudgetError(platform.PlatformUnavailableError):
+class AppendBudgetError(native.PlatformUnavailableError):
     """The budget is used up; the record was not accepted.
 
     Attributes:
@@ -52,7 +52,7 @@
 
     def __init__(
         self,
-        log: platform.LogService,
+        log: native.LogService,
         budget: budgets.AppendBudget,
         clock: clocks.Clock,
         rng: random.Random,
@@ -112,7 +112,7 @@
                 self._clock, asyncio.shield(task), timeout_ms
             )
         except TimeoutError as error:
-            raise platform.PlatformUnknownError(
+            raise native.PlatformUnknownError(
                 f"the append was not answered within {timeout_ms} ms"
             ) from error
 
@@ -139,9 +139,9 @@
         start = self._ends.get(stream, 0)
         try:
             return await self._attempt(stream, data, end_ms)
-        except platform.PlatformUnavailableError:
+        except native.PlatformUnavailableError:
             raise
-        except platform.PlatformUnknownError as error:
+        except native.PlatformUnknownError as error:
             self._log.info("append unknown", stream=stream, error=str(error))
         return await self._resolve(stream, data, start, end_ms)
 
@@ -159,7 +159,7 @@
     async def _attempt(self, stream: str, data: bytes, end_ms: int) -> int:
         left_ms = end_ms - self._clock.now_ms()
         if left_ms <= 0:
-            raise platform.PlatformUnknownError("no time left to append")
+            raise native.PlatformUnknownError("no time left to append")
         self._times.append(self._clock.now_ms())
         offset = await self._log_service.append(
             stream, data, min(left_ms, ATTEMPT_TIMEOUT_MS)
@@ -187,11 +187,11 @@
                 if record_id is not None and self.budget.take("group") == 0:
                     offset = await self._attempt(stream, data, end_ms)
                     continue
-            except platform.PlatformError as error:
+            except native.PlatformError as error:
                 self._log.debug("append unresolved", error=str(error))
             await self._clock.sleep_ms(backoff_ms * self._rng.uniform(0.5, 1.5))
             backoff_ms = min(2 * backoff_ms, LAST_BACKOFF_MS)
-        raise platform.PlatformUnknownError(
+        raise native.PlatformUnknownError(
             "the append's answer was lost and the record was not found in time"
         )
 
@@ -216,7 +216,7 @@
                     0,
                     min(left_ms, ATTEMPT_TIMEOUT_MS),
                 )
-            except platform.RecordsExpiredError as error:
+            except native.RecordsExpiredError as error:
                 start = error.first
                 continue
             by_offset = {record.offset: record for record in page.records}
@@ -230,11 +230,11 @@
                 self.note_end(stream, page.end)
                 return None, start
             if not by_offset:
-                raise platform.PlatformUnknownError("the log left out records")
+                raise native.PlatformUnknownError("the log left out records")
             if min(by_offset) > start or left_ms <= 1:
                 await self._clock.sleep_ms(FIRST_BACKOFF_MS)
                 if self._clock.now_ms() >= end_ms:
-                    raise platform.PlatformUnknownError("no time left to read")
+                    raise native.PlatformUnknownError("no time left to read")
 
 
 def _id(data: bytes) -> str | None:
--- a/oleanderbay/process/bootstrap.py
+++ b/oleanderbay/process/bootstrap.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import follower, interfaces, membership
 from oleanderbay.version import catalogue, checkpoint
 
@@ -44,7 +44,7 @@
 
     def __init__(
         self,
-        log: platform.LogService,
+        log: native.LogService,
         transport: interfaces.PeerTransport,
         members: membership.Membership,
     ) -> None:
@@ -64,7 +64,7 @@
         """
         try:
             state = await self.from_log()
-        except platform.PlatformError as error:
+        except native.PlatformError as error:
             self._log.warning("no state from the log", error=str(error))
             state = None
         if state is not None and _is_newer(state, current):
@@ -165,25 +165,23 @@
     async def _bounds(self) -> tuple[int, int]:
         try:
             page = await self._read(1, 1)
-        except platform.RecordsExpiredError as error:
+        except native.RecordsExpiredError as error:
             page = await self._read(error.first, 1)
         return page.first, page.end
 
-    async def _read_all(
-        self, start: int, stop: int
-    ) -> list[platform.LogRecord]:
-        found: dict[int, platform.LogRecord] = {}
+    async def _read_all(self, start: int, stop: int) -> list[native.LogRecord]:
+        found: dict[int, native.LogRecord] = {}
         for _ in range(MAX_PAGE_READS):
             missing = next((o for o in range(start, stop) if o not in found), 0)
             if not missing:
                 return [found[offset] for offset in range(start, stop)]
             page = await self._read(missing, stop - missing)
             found.update((record.offset, record) for record in page.records)
-        raise platform.PlatformUnknownError(
+        raise native.PlatformUnknownError(
             f"the log leaves out records from {start} to {stop - 1}"
         )
 
-    async def _read(self, start: int, limit: int) -> platform.LogPage:
+    async def _read(self, start: int, limit: int) -> native.LogPage:
         return await self._log_service.read(
             follower.STREAM, start, limit, 0, READ_TIMEOUT_MS
         )
--- a/oleanderbay/process/cachefeed.py
+++ b/oleanderbay/process/cachefeed.py
@@ -3,7 +3,7 @@
 import mode
 import structlog
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces, reports
 from oleanderbay.request import prefixes
@@ -44,7 +44,7 @@
         self._eligible = eligible
         self._engine_at = engine_at
         self._clock = clock
-        self._engines: dict[str, platform.ModelEngine] = {}
+        self._engines: dict[str, native.ModelEngine] = {}
         self._starts: dict[str, str] = {}
         self._gaps: set[str] = set()
         self._turn = 0
@@ -63,7 +63,7 @@
             self._turn += 1
             try:
                 await self._read(upstream)
-            except platform.PlatformError as error:
+            except native.PlatformError as error:
                 # Without events the index only ages; routing goes on.
                 log.info(
                     "cache events not read",
@@ -131,7 +131,7 @@
         if upstream.id in self._gaps:
             await self._replace(upstream.id, engine)
 
-    async def _replace(self, id: str, engine: platform.ModelEngine) -> None:
+    async def _replace(self, id: str, engine: native.ModelEngine) -> None:
         """Builds the content anew from the events that the engine holds.
 
         Blocks that were added before the oldest event are missing then, which
--- a/oleanderbay/process/cachemove.py
+++ b/oleanderbay/process/cachemove.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 
 BLOCK_TIMEOUT_MS = 2_000
@@ -53,11 +53,11 @@
     return sample.bytes > 0 and sample.moved_ms < prefill_block_ms * reuses
 
 
-async def cached_blocks(engine: platform.ModelEngine) -> list[int]:
+async def cached_blocks(engine: native.ModelEngine) -> list[int]:
     """Returns the blocks that an engine's events name, newest first.
 
     Raises:
-        platform.PlatformError: The events could not be read.
+        native.PlatformError: The events could not be read.
     """
     held: dict[int, None] = {}
     async for event in engine.cache_events(0):
@@ -70,8 +70,8 @@
 
 
 async def move(
-    source: platform.ModelEngine,
-    target: platform.ModelEngine,
+    source: native.ModelEngine,
+    target: native.ModelEngine,
     prefill_block_ms: float,
     clock: clocks.Clock,
     reuses: float = 1.0,
@@ -102,6 +102,6 @@
                 )
             if spent_ms > MOVE_LIMIT_MS:
                 return Moved(blocks=count, bytes=size, reason="time limit")
-    except platform.PlatformError as error:
+    except native.PlatformError as error:
         return Moved(blocks=count, bytes=size, reason=str(error))
     return Moved(blocks=count, bytes=size, reason="all blocks moved")
--- a/oleanderbay/process/checkpoints.py
+++ b/oleanderbay/process/checkpoints.py
@@ -5,7 +5,7 @@
 import mode
 import structlog
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import follower as followers
 from oleanderbay.process import freshness, interfaces, membership, rendezvous
@@ -84,7 +84,7 @@
                 await self._appender.append(
                     followers.STREAM, data, use, APPEND_TIMEOUT_MS
                 )
-        except platform.PlatformError as error:
+        except native.PlatformError as error:
             self._log.warning("checkpoint not written", error=str(error))
             return False
         self.written += 1
@@ -106,7 +106,7 @@
         return order.index(self._members.me.id)
 
     def _note_record(
-        self, record: platform.LogRecord, verdict: verdicts.Verdict
+        self, record: native.LogRecord, verdict: verdicts.Verdict
     ) -> None:
         if verdict.kind != "checkpoint":
             return
--- a/oleanderbay/process/driver.py
+++ b/oleanderbay/process/driver.py
@@ -4,7 +4,7 @@
 
 import mode
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import (
     cachemove,
     fleet,
@@ -358,7 +358,7 @@
             await self._appender.append(
                 "config", data, "stage", APPEND_TIMEOUT_MS
             )
-        except platform.PlatformError as error:
+        except native.PlatformError as error:
             self.log.warning(
                 "stage %s of %s: %s", stage.value, change.id, error
             )
--- a/oleanderbay/process/entry.py
+++ b/oleanderbay/process/entry.py
@@ -10,7 +10,7 @@
 import mode
 import structlog
 
-from oleanderbay.platform import (
+from oleanderbay.native import (
     engine_http,
     instances_http,
     log_http,
--- a/oleanderbay/process/fleet.py
+++ b/oleanderbay/process/fleet.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Collection
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import interfaces, inventory, members, sightings
 from oleanderbay.version import resources
 from oleanderbay.version import situation as situations
@@ -114,7 +114,7 @@
     view: interfaces.CatalogueView,
     listing: inventory.Inventory,
     seen: sightings.Sightings,
-    store: platform.WeightStoreState | None,
+    store: native.WeightStoreState | None,
     now_ms: int,
     wall_ms: int,
     replaced: Collection[str] = (),
--- a/oleanderbay/process/follower.py
+++ b/oleanderbay/process/follower.py
@@ -9,7 +9,7 @@
 import mode
 import structlog
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import (
     deadline,
@@ -26,7 +26,7 @@
 # the same process relays must not wait for a whole page.
 SLICE_RECORDS = 16
 
-RecordCallback = Callable[[platform.LogRecord, verdicts.Verdict], None]
+RecordCallback = Callable[[native.LogRecord, verdicts.Verdict], None]
 Recover = Callable[[catalogue.Catalogue], Awaitable[catalogue.Catalogue | None]]
 
 
@@ -74,7 +74,7 @@
 
     def __init__(
         self,
-        log: platform.LogService,
+        log: native.LogService,
         lease: freshness.FreshnessLease,
         members: membership.Membership,
         clock: clocks.Clock,
@@ -94,10 +94,8 @@
         self._rng = rng
         self._recover = recover
         self._current = catalogue.Catalogue.empty()
-        self._pending: dict[int, platform.LogRecord] = {}
-        self._recent: collections.deque[platform.LogRecord] = (
-            collections.deque()
-        )
+        self._pending: dict[int, native.LogRecord] = {}
+        self._recent: collections.deque[native.LogRecord] = collections.deque()
         self._recent_bytes = 0
         self._divergence = divergence.DivergenceCheck()
         self._callbacks: list[Callable[[interfaces.CatalogueView], None]] = []
@@ -146,7 +144,7 @@
         self.accept(())
         return True
 
-    def accept(self, records: Iterable[platform.LogRecord]) -> int:
+    def accept(self, records: Iterable[native.LogRecord]) -> int:
         """Applies records that are next; keeps those that came too early.
 
         Args:
@@ -169,7 +167,7 @@
             self._drop_pending()
         return applied
 
-    async def catch_up(self, records: Iterable[platform.LogRecord]) -> int:
+    async def catch_up(self, records: Iterable[native.LogRecord]) -> int:
         """Like `accept`, but lets other tasks run in between."""
         ordered = sorted(records, key=lambda record: record.offset)
         applied = 0
@@ -181,13 +179,13 @@
 
     def recent(
         self, start: int, limit: int, max_bytes: int
-    ) -> list[platform.LogRecord] | None:
+    ) -> list[native.LogRecord] | None:
         """Returns applied records from an offset on; None if they are gone."""
         if start > self._current.offset:
             return []
         if not self._recent or start < self._recent[0].offset:
             return None
-        found: list[platform.LogRecord] = []
+        found: list[native.LogRecord] = []
         size = 0
         index = start - self._recent[0].offset
         while index < len(self._recent) and len(found) < limit:
@@ -299,11 +297,11 @@
                 wait_ms,
                 wait_ms + self.limits.read_timeout_ms,
             )
-        except platform.RecordsExpiredError as error:
+        except native.RecordsExpiredError as error:
             self._log.warning("records expired", first=error.first, start=start)
             await self._recover_state()
             return False
-        except platform.PlatformError as error:
+        except native.PlatformError as error:
             self._log.debug("log read failed", error=str(error))
             self.reachable = False
             return False
@@ -329,7 +327,7 @@
         if state is not None:
             self.install(state)
 
-    def _apply(self, record: platform.LogRecord) -> None:
+    def _apply(self, record: native.LogRecord) -> None:
         self._current, verdict = apply.apply_record(
             self._current, record.offset, record.data
         )
--- a/oleanderbay/process/groups.py
+++ b/oleanderbay/process/groups.py
@@ -6,7 +6,7 @@
 
 import mode
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import (
     driver,
@@ -41,8 +41,8 @@
         membership: interfaces.MembershipView,
         transport: interfaces.PeerTransport,
         appender: interfaces.LogAppender,
-        listing: platform.InstanceList,
-        store: platform.WeightStore | None,
+        listing: native.InstanceList,
+        store: native.WeightStore | None,
         engine_at: reports.EngineAt,
         confirmation_age_ms: Callable[[], int | None],
         interval_ms: int,
--- a/oleanderbay/process/heartbeats.py
+++ b/oleanderbay/process/heartbeats.py
@@ -8,7 +8,7 @@
 import mode
 import structlog
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces, membership, neighbours, peers
 
@@ -46,7 +46,7 @@
         status: Status,
         *,
         links: peers.Peers | None = None,
-        instance_list: platform.InstanceList | None = None,
+        instance_list: native.InstanceList | None = None,
         full_mesh: int = neighbours.FULL_MESH_ENTRIES,
     ) -> None:
         super().__init__()
@@ -120,7 +120,7 @@
         if self._links is not None:
             self._links.me = self.members.me
         self.beat_all()
-        await self._announce(platform.InstanceState.LEAVING)
+        await self._announce(native.InstanceState.LEAVING)
 
     def early_peers(self) -> tuple[str, ...]:
         """Returns the peers that are told of a new offset at once.
@@ -167,14 +167,14 @@
         while self._list is not None and not self.should_stop:
             now_ms = self._clock.now_ms()
             if now_ms - announced_ms >= ANNOUNCE_PERIOD_MS:
-                state = platform.InstanceState.LIVE
+                state = native.InstanceState.LIVE
                 if self.members.me.leaving:
-                    state = platform.InstanceState.LEAVING
+                    state = native.InstanceState.LEAVING
                 if await self._announce(state):
                     announced_ms = now_ms
             try:
                 lines = await self._list.instances(LIST_TIMEOUT_MS)
-            except platform.PlatformError as error:
+            except native.PlatformError as error:
                 self._log.warning("instance list failed", error=str(error))
             else:
                 self.members.note_list(lines)
@@ -183,13 +183,13 @@
                 LIST_PERIOD_MS * self._rng.uniform(0.9, 1.1)
             )
 
-    async def _announce(self, state: platform.InstanceState) -> bool:
+    async def _announce(self, state: native.InstanceState) -> bool:
         if self._list is None:
             return False
         me = self.members.me
         try:
             await self._list.announce(
-                platform.Instance(
+                native.Instance(
                     id=me.id,
                     role="entry",
                     address=me.caller_address,
@@ -200,7 +200,7 @@
                 ),
                 LIST_TIMEOUT_MS,
             )
-        except platform.PlatformError as error:
+        except native.PlatformError as error:
             self._log.warning("announcement failed", error=str(error))
             return False
         return True
--- a/oleanderbay/process/inventory.py
+++ b/oleanderbay/process/inventory.py
@@ -2,7 +2,7 @@
 
 import mode
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
 from oleanderbay.version import resources
@@ -20,13 +20,13 @@
 
     def __init__(
         self,
-        listing: platform.InstanceList,
+        listing: native.InstanceList,
         clock: clocks.Clock,
         interval_ms: int = 1_000,
     ) -> None:
         super().__init__()
-        self.instances: dict[str, platform.Instance] = {}
-        self.by_address: dict[str, platform.Instance] = {}
+        self.instances: dict[str, native.Instance] = {}
+        self.by_address: dict[str, native.Instance] = {}
         self.read_at_ms: int | None = None
         self._listing = listing
         self._clock = clock
@@ -42,7 +42,7 @@
         """Reads the list once."""
         try:
             lines = await self._listing.instances(LIST_TIMEOUT_MS)
-        except platform.PlatformError as error:
+        except native.PlatformError as error:
             self.log.warning("instance list not read: %s", error)
             return
         self.instances = {line.id: line for line in lines}
@@ -54,10 +54,10 @@
         return frozenset(
             line.id
             for line in self.instances.values()
-            if line.state is platform.InstanceState.LEAVING
+            if line.state is native.InstanceState.LEAVING
         )
 
-    def engines(self) -> list[platform.Instance]:
+    def engines(self) -> list[native.Instance]:
         """Returns the lines of model engines."""
         return [i for i in self.instances.values() if i.role == "engine"]
 
--- a/oleanderbay/process/members.py
+++ b/oleanderbay/process/members.py
@@ -5,7 +5,7 @@
 import statistics
 from collections.abc import Iterable, Mapping
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.version import resources
 
 # A report that is older says nothing about the present (section 6.5).
@@ -55,7 +55,7 @@
         slow_since_ms: Since when it is slow; None while it is not.
     """
 
-    report: platform.EngineReport | None = None
+    report: native.EngineReport | None = None
     at_ms: int = 0
     heard_since_ms: int = 0
     hold_ms: int = 0
@@ -131,7 +131,7 @@
         for id in [id for id in self.by_id if id not in wanted]:
             del self.by_id[id]
 
-    def note(self, report: platform.EngineReport, now_ms: int) -> None:
+    def note(self, report: native.EngineReport, now_ms: int) -> None:
         """Takes in a report that was asked for at `now_ms`."""
         member = self.get(report.instance)
         old = member.report
@@ -169,7 +169,7 @@
                     now_ms - member.bad_since_ms,
                     member.fresh(now_ms),
                 )
-        lead = self.get(group.members[0]).report or platform.EngineReport(
+        lead = self.get(group.members[0]).report or native.EngineReport(
             instance=group.members[0], start_id=""
         )
         reports = [self.get(id).report for id in group.members]
--- a/oleanderbay/process/membership.py
+++ b/oleanderbay/process/membership.py
@@ -4,7 +4,7 @@
 import hashlib
 from collections.abc import Callable, Iterable
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
 
@@ -197,12 +197,12 @@
             and state.entry.id in self._known
         )
 
-    def note_list(self, lines: Iterable[platform.Instance]) -> None:
+    def note_list(self, lines: Iterable[native.Instance]) -> None:
         """Takes over the entries of the instance list."""
         listed = {line.id: line for line in lines if line.role == "entry"}
         self.list_read = True
         for id, line in listed.items():
-            if line.state is not platform.InstanceState.LIVE:
+            if line.state is not native.InstanceState.LIVE:
                 self._forget(id)
                 self._left.pop(id, None)
             elif id not in self._left:
--- a/oleanderbay/process/orders.py
+++ b/oleanderbay/process/orders.py
@@ -5,7 +5,7 @@
 
 import mode
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces, inventory, reports
 from oleanderbay.version import resources
@@ -134,7 +134,7 @@
         member = self._reports.members.get(id)
         report = member.report
         fresh = report is not None and member.fresh(self._clock.now_ms())
-        order = platform.Order(
+        order = native.Order(
             fence=group.epoch,
             group=group.id,
             service=group.service,
@@ -157,11 +157,11 @@
         self._given[id] = (group.epoch, self._clock.now_ms())
         try:
             after = await engine.order(order, min(ORDER_TIMEOUT_MS, left_ms))
-        except platform.OrderRefusedError as error:
+        except native.OrderRefusedError as error:
             self.log.info("%s refused epoch %d: %s", id, group.epoch, error)
-        except platform.PlatformUnavailableError as error:
+        except native.PlatformUnavailableError as error:
             self.log.info("order not sent to %s: %s", id, error)
-        except platform.PlatformUnknownError as error:
+        except native.PlatformUnknownError as error:
             # The next report tells whether it took effect.
             self.log.info("order to %s has no answer: %s", id, error)
         else:
--- a/oleanderbay/process/proposer.py
+++ b/oleanderbay/process/proposer.py
@@ -5,7 +5,7 @@
 
 import mode
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import (
     fleet,
@@ -67,7 +67,7 @@
         listing: inventory.Inventory,
         reports_service: reports.Reports,
         appender: interfaces.LogAppender,
-        store: platform.WeightStore | None,
+        store: native.WeightStore | None,
         confirmation_age_ms: Callable[[], int | None],
         clock: clocks.Clock,
         new_id: Callable[[], str] = records.new_id,
@@ -84,7 +84,7 @@
         self._confirmation_age_ms = confirmation_age_ms
         self._clock = clock
         self._new_id = new_id
-        self._store_state: platform.WeightStoreState | None = None
+        self._store_state: native.WeightStoreState | None = None
         self._needed_ms: dict[Hashable, int] = {}
         self._stopped_ms: dict[str, int] = {}
         # Offset and time of the last append that is not applied here yet.
@@ -268,9 +268,9 @@
             return
         try:
             self._store_state = await self._store.state(STORE_TIMEOUT_MS)
-        except platform.PlatformError as error:
+        except native.PlatformError as error:
             self.log.warning("weight store not read: %s", error)
-            self._store_state = platform.WeightStoreState(
+            self._store_state = native.WeightStoreState(
                 rate_bytes_per_s=0, active_loads=0
             )
 
@@ -302,10 +302,10 @@
             offset = await self._appender.append(
                 "config", data, "group", APPEND_TIMEOUT_MS
             )
-        except platform.PlatformUnavailableError as error:
+        except native.PlatformUnavailableError as error:
             self.log.warning("%s not proposed: %s", body.KIND, error)
             return False
-        except platform.PlatformUnknownError as error:
+        except native.PlatformUnknownError as error:
             self.log.warning("%s may be proposed: %s", body.KIND, error)
             self._unknown[decision.key] = (decision.body, data)
             return False
--- a/oleanderbay/process/relay.py
+++ b/oleanderbay/process/relay.py
@@ -12,7 +12,7 @@
 import mode
 import structlog
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import bootstrap, interfaces, membership
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import follower as followers
@@ -185,7 +185,7 @@
                 del self._snapshots[offset]
 
 
-def _records(answer: Any) -> list[platform.LogRecord]:
+def _records(answer: Any) -> list[native.LogRecord]:
     if not isinstance(answer, list):
         raise interfaces.PeerError("malformed records")
     records = []
@@ -197,5 +197,5 @@
             or type(item[1]) is not bytes
         ):
             raise interfaces.PeerError("malformed records")
-        records.append(platform.LogRecord(item[0], item[1]))
+        records.append(native.LogRecord(item[0], item[1]))
     return records
--- a/oleanderbay/process/replication.py
+++ b/oleanderbay/process/replication.py
@@ -6,7 +6,7 @@
 import mode
 import structlog
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import (
     appender,
     bootstrap,
@@ -71,8 +71,8 @@
     def __init__(
         self,
         me: interfaces.Entry,
-        log: platform.LogService,
-        instance_list: platform.InstanceList | None,
+        log: native.LogService,
+        instance_list: native.InstanceList | None,
         clock: clocks.Clock,
         rng: random.Random,
         settings: Settings | None = None,
--- a/oleanderbay/process/reports.py
+++ b/oleanderbay/process/reports.py
@@ -6,7 +6,7 @@
 
 import mode
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import (
     interfaces,
@@ -30,7 +30,7 @@
 # A load figure that moved by less is sent with the next larger change.
 LOAD_STEP = 0.25
 
-EngineAt = Callable[[str], platform.ModelEngine]
+EngineAt = Callable[[str], native.ModelEngine]
 Listener = Callable[[], None]
 
 
@@ -60,7 +60,7 @@
         self._inventory = listing
         self._engine_at = engine_at
         self._clock = clock
-        self._engines: dict[str, tuple[str, platform.ModelEngine]] = {}
+        self._engines: dict[str, tuple[str, native.ModelEngine]] = {}
         self._sequence = 0
         self._sent: dict[str, members.GroupState] = {}
         self._listeners: list[Listener] = []
@@ -145,7 +145,7 @@
             and me in self.readers_of(line.id, line.zone)
         ]
 
-    def engine(self, instance: str) -> platform.ModelEngine | None:
+    def engine(self, instance: str) -> native.ModelEngine | None:
         """Returns the control side of an instance that is listed."""
         line = self._inventory.instances.get(instance)
         if line is None:
@@ -179,7 +179,7 @@
                 return
             try:
                 report = await engine.report(POLL_TIMEOUT_MS)
-            except platform.PlatformError as error:
+            except native.PlatformError as error:
                 self.log.debug("no report of %s: %s", instance, error)
                 return
             if report.instance == instance:
@@ -297,7 +297,7 @@
             listener()
 
 
-async def close_engine(engine: platform.ModelEngine) -> None:
+async def close_engine(engine: native.ModelEngine) -> None:
     """Closes an engine adapter that holds connections."""
     close = getattr(engine, "close", None)
     if close is not None:
--- a/oleanderbay/process/submission.py
+++ b/oleanderbay/process/submission.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
 from oleanderbay.version import catalogue, records, verdicts
@@ -280,10 +280,10 @@
                 )
                 may_be_appended = True
                 wait_ms = deadline_ms - self.clock.now_ms()
-            except platform.PlatformUnavailableError as error:
+            except native.PlatformUnavailableError as error:
                 if not may_be_appended:
                     return self._not_accepted(request_id, error)
-            except platform.PlatformUnknownError:
+            except native.PlatformUnknownError:
                 may_be_appended = True
             wait_ms = min(wait_ms, deadline_ms - self.clock.now_ms())
             verdict = await self.verdict_source.wait_verdict(record_id, wait_ms)
--- a/oleanderbay/request/claim_log.py
+++ b/oleanderbay/request/claim_log.py
@@ -7,7 +7,7 @@
 
 import msgpack
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
 from oleanderbay.request import claims
@@ -21,7 +21,7 @@
 
 
 class Reader(Protocol):
-    """The part of `platform.LogService` that claims are read with."""
+    """The part of `native.LogService` that claims are read with."""
 
     async def read(
         self,
@@ -30,8 +30,8 @@
         limit: int,
         wait_ms: int,
         timeout_ms: int,
-    ) -> platform.LogPage:
-        """Reads from an offset; see `platform.LogService.read`."""
+    ) -> native.LogPage:
+        """Reads from an offset; see `native.LogService.read`."""
         ...
 
 
@@ -139,7 +139,7 @@
             offset = await self.appender.append(
                 STREAM, data, "claim", self.timeout_ms
             )
-        except platform.PlatformUnavailableError:
+        except native.PlatformUnavailableError:
             raise
         except BaseException:
             # Also a cancelled append may take effect. The caller sends
@@ -216,7 +216,7 @@
         first = 1
         try:
             page = await self._read(1, 1)
-        except platform.RecordsExpiredError as error:
+        except native.RecordsExpiredError as error:
             first = error.first
             page = await self._read(first, _PROBE)
             if self._newest(page.records) >= since_ms:
@@ -235,7 +235,7 @@
         while self._position <= offset:
             try:
                 page = await self._read(self._position, _PAGE)
-            except platform.RecordsExpiredError:
+            except native.RecordsExpiredError:
                 # Too long without a claim: the next one starts afresh.
                 self._position = 0
                 raise
@@ -246,10 +246,10 @@
                 # The reader of the log may lag behind the appender.
                 await self.clock.sleep_ms(5)
 
-    async def _read(self, start: int, limit: int) -> platform.LogPage:
+    async def _read(self, start: int, limit: int) -> native.LogPage:
         return await self.log.read(STREAM, start, limit, 0, self.timeout_ms)
 
-    def _newest(self, records: tuple[platform.LogRecord, ...]) -> int:
+    def _newest(self, records: tuple[native.LogRecord, ...]) -> int:
         """Newest time among records; a malformed one counts as new."""
         newest_ms = -1
         for record in records:
--- a/oleanderbay/request/idempotency.py
+++ b/oleanderbay/request/idempotency.py
@@ -7,7 +7,7 @@
 
 import mode
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
 from oleanderbay.request import claim_log, claims, keys, outcome
@@ -223,7 +223,7 @@
         if self.claim_log is not None and self.claim_log.pending:
             try:
                 await self.claim_log.flush()
-            except platform.PlatformError:
+            except native.PlatformError:
                 pass
         live = {entry.start_id for entry in self.membership.live()}
         batches: dict[str, list[tuple[str, str, list[Any] | None, int]]] = {}
@@ -300,7 +300,7 @@
             winner = await self.claim_log.claim(
                 key.id, key.issued_ms, digest, claim
             )
-        except platform.PlatformError:
+        except native.PlatformError:
             return claims.LOG_UNAVAILABLE
         except claim_log.HistoryGoneError:
             return claims.REFUSALS[claims.Verdict.EXPIRED]
--- a/oleanderbay/request/prefixes.py
+++ b/oleanderbay/request/prefixes.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from oleanderbay.platform import interfaces
+from oleanderbay.native import interfaces
 
 BLOCK_BYTES = 512
 
--- a/oleanderbay/standins/engine.py
+++ b/oleanderbay/standins/engine.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from oleanderbay.platform import interfaces
+from oleanderbay.native import interfaces
 from oleanderbay.process import clock as clocks
 from oleanderbay.standins import engine_state, server, tokens
 
--- a/oleanderbay/standins/engine_state.py
+++ b/oleanderbay/standins/engine_state.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from oleanderbay.platform import interfaces
+from oleanderbay.native import interfaces
 from oleanderbay.process import clock as clocks
 
 
--- a/oleanderbay/standins/fleet.py
+++ b/oleanderbay/standins/fleet.py
@@ -8,7 +8,7 @@
 import grpc
 
 from oleanderbay.checks import records as checks
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import entry, settings
 from oleanderbay.schema import convert, operators_pb2, operators_pb2_grpc
@@ -297,7 +297,7 @@
         await standin.start(HOST, 0)
         self.engines[instance] = standin
         self.instances.put(
-            platform.Instance(
+            native.Instance(
                 id=instance,
                 role="engine",
                 address=standin.address,
--- a/oleanderbay/standins/instances.py
+++ b/oleanderbay/standins/instances.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from oleanderbay.platform import instances_http, interfaces
+from oleanderbay.native import instances_http, interfaces
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import deadline
 from oleanderbay.standins import log, server
--- a/oleanderbay/standins/log.py
+++ b/oleanderbay/standins/log.py
@@ -12,7 +12,7 @@
 import msgpack
 from aiohttp import web
 
-from oleanderbay.platform import interfaces
+from oleanderbay.native import interfaces
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import deadline
 from oleanderbay.standins import server
--- a/tests/platform/test_engine_http.py
+++ b/tests/native/test_engine_http.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from oleanderbay.platform import engine_http, interfaces, weights_http
+from oleanderbay.native import engine_http, interfaces, weights_http
 from oleanderbay.standins import engine, weights
 from tests.standins.test_engine import ORDER
 
--- a/tests/platform/test_instances_http.py
+++ b/tests/native/test_instances_http.py
@@ -3,7 +3,7 @@
 import aiohttp
 import pytest
 
-from oleanderbay.platform import instances_http, interfaces
+from oleanderbay.native import instances_http, interfaces
 from oleanderbay.process import clock as clocks
 from oleanderbay.standins import instances
 
--- a/tests/platform/test_log_http.py
+++ b/tests/native/test_log_http.py
@@ -6,7 +6,7 @@
 import pytest
 from aiohttp import web
 
-from oleanderbay.platform import interfaces, log_http
+from oleanderbay.native import interfaces, log_http
 from oleanderbay.process import clock as clocks
 from oleanderbay.standins import log
 
--- a/tests/process/test_appender.py
+++ b/tests/process/test_appender.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import appender, budget
 from oleanderbay.process import clock as clocks
 from oleanderbay.standins import log
@@ -72,7 +72,7 @@
     await bench.clock.advance(10)
     assert bench.stored() == [RECORD]
     bench.client.cut = True
-    with pytest.raises(platform.PlatformUnknownError):
+    with pytest.raises(native.PlatformUnknownError):
         await bench.run(task)
 
 
@@ -80,7 +80,7 @@
     """Nothing was appended, so the caller may say so."""
     bench = Bench()
     bench.log.faults.down = True
-    with pytest.raises(platform.PlatformUnavailableError):
+    with pytest.raises(native.PlatformUnavailableError):
         await bench.run(bench.append(RECORD))
     assert bench.log.appended == 0
 
@@ -117,7 +117,7 @@
             errors.append(error)
             assert data not in bench.stored()
     assert errors and all(error.retry_after_ms > 0 for error in errors)
-    assert isinstance(errors[0], platform.PlatformUnavailableError)
+    assert isinstance(errors[0], native.PlatformUnavailableError)
     with pytest.raises(ValueError):
         await bench.append(RECORD, "nothing")
 
--- a/tests/process/test_cachefeed.py
+++ b/tests/process/test_cachefeed.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import cachefeed, interfaces
 from oleanderbay.process import clock as clocks
 from oleanderbay.request import prefixes
@@ -26,7 +26,7 @@
 
     async def cache_events(self, since):
         if self.broken:
-            raise platform.PlatformUnavailableError("down")
+            raise native.PlatformUnavailableError("down")
         for event in self.events:
             if event.sequence > since:
                 yield event
@@ -64,7 +64,7 @@
     def publish(self, sequence, added=(), removed=()):
         self.sequence = sequence
         self.engine.events.append(
-            platform.CacheEvent(sequence=sequence, added=added, removed=removed)
+            native.CacheEvent(sequence=sequence, added=added, removed=removed)
         )
 
 
--- a/tests/process/test_groups.py
+++ b/tests/process/test_groups.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.version import resources
 from tests.process import world as worlds
 
@@ -134,7 +134,7 @@
     world = await started(checks_fencing=checks)
     group = by_zone(world, "za")[0]
     engine = world.engine(group.members[0])
-    late = platform.Order(
+    late = native.Order(
         fence=1,
         group="old",
         service="s",
@@ -324,7 +324,7 @@
     group = world.groups()[0]
     id = group.members[0]
     world.lines[id] = worlds.replaced(
-        world.lines[id], state=platform.InstanceState.LEAVING
+        world.lines[id], state=native.InstanceState.LEAVING
     )
     await world.run(1_000)
     assert all(group.id not in ids for ids in world.offered().values())
--- a/tests/process/test_membership.py
+++ b/tests/process/test_membership.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from oleanderbay.connection import peer
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import (
     bootstrap,
     divergence,
@@ -32,8 +32,8 @@
     )
 
 
-def line(id, state=platform.InstanceState.LIVE):
-    return platform.Instance(
+def line(id, state=native.InstanceState.LIVE):
+    return native.Instance(
         id=id,
         role="entry",
         address="",
--- a/tests/process/test_replication.py
+++ b/tests/process/test_replication.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import interfaces, neighbours
 from oleanderbay.version import records
 from tests.process import cluster
@@ -98,7 +98,7 @@
         entries.log.faults.down = True
         await entries.clock.advance(60_000)
         assert states(entries) == [OUTAGE] * 7
-        with pytest.raises(platform.PlatformUnavailableError):
+        with pytest.raises(native.PlatformUnavailableError):
             await entries.while_running(
                 entries[0].replica.appender.append(
                     "config", cluster.team_record("t"), "operator", 2_000
@@ -320,7 +320,7 @@
     async with cluster.Cluster(1) as entries:
         follower = entries[0].replica.follower
         records_ = [
-            platform.LogRecord(n, cluster.team_record(f"t{n}"))
+            native.LogRecord(n, cluster.team_record(f"t{n}"))
             for n in range(1, 321)
         ]
         turns = 0
--- a/tests/process/test_replication_machine.py
+++ b/tests/process/test_replication_machine.py
@@ -10,7 +10,7 @@
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.version import apply, catalogue, checkpoint, records
 from tests.process import cluster
 
@@ -214,9 +214,9 @@
         """Checks what an append said against the log itself."""
         try:
             offset = task.result()
-        except platform.PlatformUnavailableError:
+        except native.PlatformUnavailableError:
             self.refused.append(data)
-        except (platform.PlatformUnknownError, asyncio.CancelledError):
+        except (native.PlatformUnknownError, asyncio.CancelledError):
             return
         else:
             assert self.history[offset - 1] == data
--- a/tests/process/test_submission.py
+++ b/tests/process/test_submission.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock, submission
 from oleanderbay.version import records
 from tests.version import samples
@@ -12,7 +12,7 @@
 Status = submission.Status
 
 
-class ShedError(platform.PlatformUnavailableError):
+class ShedError(native.PlatformUnavailableError):
     retry_after_ms = 250
 
 
@@ -86,7 +86,7 @@
         elif fault != "dropped":
             self.apply(data)
         if fault:
-            raise platform.PlatformUnknownError("no answer")
+            raise native.PlatformUnknownError("no answer")
         return self.current.offset
 
     async def submit(self, body, request_id="", advance_ms=0, **options):
--- a/tests/process/world.py
+++ b/tests/process/world.py
@@ -3,7 +3,7 @@
 import dataclasses
 import itertools
 
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import (
     clock,
     driver,
@@ -38,7 +38,7 @@
 
     def reach(self):
         if self.down:
-            raise platform.PlatformUnavailableError(f"{self.instance} is down")
+            raise native.PlatformUnavailableError(f"{self.instance} is down")
 
     def add_stream(self, request_id="stream"):
         """Starts a request that runs until `running` is cleared."""
@@ -65,7 +65,7 @@
     def _reach(self):
         self.target.reach()
         if (self.entry, self.target.instance) in self.world.cut:
-            raise platform.PlatformUnavailableError("partition")
+            raise native.PlatformUnavailableError("partition")
 
     async def report(self, timeout_ms):
         self._reach()
@@ -77,13 +77,13 @@
         self.world.sent_orders.append((self.target.instance, *sent))
         if self.target.hold_orders:
             self.target.held_orders.append(order)
-            raise platform.PlatformUnknownError("held in the network")
+            raise native.PlatformUnknownError("held in the network")
         refusal = self.target.order(order)
         if refusal:
-            raise platform.OrderRefusedError(refusal)
+            raise native.OrderRefusedError(refusal)
         if self.target.lose_answers:
             self.target.lose_answers -= 1
-            raise platform.PlatformUnknownError("answer lost")
+            raise native.PlatformUnknownError("answer lost")
         return self.target.report()
 
     async def cache_events(self, since):
@@ -289,12 +289,12 @@
 
     def append(self, data):
         if self.log_down:
-            raise platform.PlatformUnavailableError("log is down")
+            raise native.PlatformUnavailableError("log is down")
         self.log.append(data)
         self.appended_ms.append(self.clock.now_ms())
         if self.lose_appends:
             self.lose_appends -= 1
-            raise platform.PlatformUnknownError("answer lost")
+            raise native.PlatformUnknownError("answer lost")
         return len(self.log)
 
     # InstanceList and WeightStore.
@@ -303,7 +303,7 @@
         return list(self.lines.values())
 
     async def state(self, timeout_ms):
-        return platform.WeightStoreState(
+        return native.WeightStoreState(
             rate_bytes_per_s=self.store_rate, active_loads=0
         )
 
@@ -341,7 +341,7 @@
 def lines_of(domains, per_domain):
     """Instances `{domain}{n}` in zone `z` + first letter of the domain."""
     return [
-        platform.Instance(
+        native.Instance(
             id=f"{domain}{at}",
             role="engine",
             address=f"{domain}{at}",
--- a/tests/request/test_routing.py
+++ b/tests/request/test_routing.py
@@ -8,7 +8,7 @@
 
 from bench import fakes_requests as fakes
 from bench import naive_requests as naive
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
 from oleanderbay.request import outcome, prefixes, routing
@@ -121,7 +121,7 @@
     """Blocks whose removal was missed would attract prompts in vain."""
     asked = []
     index = prefixes.PrefixIndex(random.Random(1), asked.append)
-    event = platform.CacheEvent
+    event = native.CacheEvent
     assert index.apply("g0", event(sequence=1, added=(1, 2)))
     assert not index.apply("g0", event(sequence=1, added=(9,)))
     assert not index.apply("g0", event(sequence=3, added=(3,)))
@@ -156,7 +156,7 @@
     for upstream, step, added, removed in events:
         # One event in six leaves a gap; the resync that follows is empty.
         newest[upstream] += 2 if step == 6 else 1
-        event = platform.CacheEvent(
+        event = native.CacheEvent(
             sequence=newest[upstream],
             added=tuple(added),
             removed=tuple(removed),
--- a/tests/serving_path.py
+++ b/tests/serving_path.py
@@ -7,8 +7,8 @@
 
 import aiohttp
 
-from oleanderbay.platform import engine_http
-from oleanderbay.platform import interfaces as platform
+from oleanderbay.native import engine_http
+from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces, serving, settings, telemetry
 from oleanderbay.request import outcome
@@ -261,7 +261,7 @@
         )
         await stand_in.start("127.0.0.1", 0)
         stand_in.order(
-            platform.Order(
+            native.Order(
                 fence=1,
                 group=f"g{number}",
                 service="model",
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -6,7 +6,7 @@
 import aiohttp
 import pytest
 
-from oleanderbay.platform import interfaces
+from oleanderbay.native import interfaces
 from oleanderbay.standins import engine, engine_state, tokens
 
 ORDER = interfaces.Order(
