Hold the expiry of the address answer in the shutdown test

Cause: the test assumed that the address answer still holds while it looks at an entry that leaves. The answer lasts 1,000 ms and callers keep it, so the call of find() before the streams returned the one from the warm-up. In a failed run the warm-up request took 991 ms; the entry then rightly refused new requests at once. The product is not at fault.

Change: the shutdown runs on a manual clock that starts in the last millisecond of the answer and is moved by the test. The assertions are the same.

The test fails when the entry does not wait for the answer, does not wait for requests in progress, or never refuses.

--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -7,6 +7,8 @@
 
 import aiohttp
 
+from oleanderbay.process import clock as clocks
+from oleanderbay.process import entry as entries
 from oleanderbay.process import settings
 from oleanderbay.standins import callers, fleet
 
@@ -57,6 +59,13 @@
     )
 
 
+async def _step(shown, clock, condition):
+    """Moves the clock of a shutdown until a condition holds."""
+    while not condition():
+        await clock.advance(entries.SHUTDOWN_STEP_MS)
+        await shown.clock.sleep_ms(entries.SHUTDOWN_STEP_MS)
+
+
 async def _get(entry, path):
     url = f"http://127.0.0.1:{entry.admin.port}{path}"
     async with (
@@ -74,13 +83,17 @@
         status = json.loads((await _get(entry, "/status"))[1])
         assert status["pending_groups"] == []
         assert status["ineligible_groups"] == {}
-        # The address answer must outlive the start of the shutdown.
-        await caller.find()
         streams = [
             asyncio.create_task(caller.stream(f"p {number}", 150))
             for number in range(2)
         ]
         assert await _running(shown, 2)
+        # The address answer of the warm-up lasts 1 s, which had passed
+        # before the shutdown in slow runs. The shutdown starts in its last ms.
+        clock = clocks.ManualClock()
+        clock.set_ms(entry.serving.directory.last_expiry_ms - 1)
+        assert clock.now_ms() > 0
+        entry.clock = clock
         stopping = asyncio.create_task(entry.shut_down())
         await shown.wait(lambda: entry.replication.members.me.leaving, 10_000)
         assert (await _get(entry, "/readyz"))[0] == 503
@@ -90,9 +103,10 @@
         status, metrics = await _get(entry, "/metrics")
         assert status == 200
         assert "oleanderbay_requests_in_progress" in metrics
-        await shown.wait(lambda: entry.closing, 10_000)
+        await _step(shown, clock, lambda: entry.closing)
         refused = await caller.call(fleet.DESK, "x", b"", {})
         assert refused.outcome == "not-run"
+        await _step(shown, clock, stopping.done)
         replies = await asyncio.gather(*streams)
         assert [reply.complete for reply in replies] == [True, True]
         assert not caller.failures
