Give each domain one model and let heads leave before reuse

And a spare of a mixed domain was often warm for the wrong model, so groups of four were not repaired after second 12. Change: every former head leaves before its members join elsewhere; members of a group whose head is unreachable leave first and need not wait for the stall; domains are dealt out to the models by their share of the workers.

--- a/oleanderbay/gateway/demand.py
+++ b/oleanderbay/gateway/demand.py
@@ -90,7 +90,7 @@
         if not self.begun or total <= 0:
             return {
                 m.name: planner.Need(
-                    m.share * m.pace, local_capacity.get(m.name, 0.0)
+                    planner.slots_share(m), local_capacity.get(m.name, 0.0)
                 )
                 for m in models
             }
--- a/oleanderbay/gateway/keeper.py
+++ b/oleanderbay/gateway/keeper.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import math
 import random
 from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from typing import Any
@@ -33,8 +32,8 @@
 # factor on it for loads that share the weight store.
 FORMATION_SLACK_MS = 3_000
 FORMATION_FACTOR = 3
-# Added to the time after which the head of a group counts as broken.
-STALL_MARGIN_MS = 500
+# Looks at a head that vanished before its group counts as orphaned.
+ORPHAN_LOOKS = 2
 # How long a group with a member that leaves may finish its requests.
 DRAIN_WAIT_MS = 1_500
 # Loads are left to spare below the limit of the weight store, since each
@@ -43,10 +42,6 @@
 # Loads before the first request take this part of their time.
 EARLY_LOAD_SHARE = 0.1
 EPOCH_BITS = 16
-# Share of a domain's workers that are kept warm for repairs.
-SPARE_SHARE = 0.2
-# Spares are used for more capacity only above this pressure.
-ENOUGH = 0.4
 # Pressure of a model below which it may give up a group, counted without it,
 # and how often the owner of a domain considers it.
 SURPLUS = 0.6
@@ -70,6 +65,7 @@
     Attributes:
         forming: Groups that are being formed, with their models.
         closed: Groups whose heads were seen to serve no more.
+        orphaned: Groups whose heads can't be reached by this gateway.
     """
 
     def __init__(
@@ -97,13 +93,13 @@
         self.name = name
         self.forming: dict[Key, table.Model] = {}
         self.closed: set[Key] = set()
+        self.orphaned: set[Key] = set()
         self.begun_loads: collections.deque[int] = collections.deque()
         self.told_loads: dict[str, int] = {}
         # Workers that are being made members, with the model.
         self._busy: dict[str, str] = {}
-        self._heads: dict[Key, str] = {}
-        self._headless_ms: dict[Key, int] = {}
-        self._staging: dict[tuple[str, int], str] = {}
+        self._heads: dict[Key, workers.Worker] = {}
+        self._staging: set[tuple[str, int]] = set()
         self._tasks: dict[object, asyncio.Task[None]] = {}
         self._first_seen_ms: dict[str, int] = {}
         self._counter = 0
@@ -134,7 +130,12 @@
                 domains.setdefault(worker.domain, []).append(worker)
             for domain, members in domains.items():
                 if self.owner.owns(f"{service.name}/{domain}"):
-                    self._domain(service, members, groups)
+                    self._domain(
+                        service,
+                        members,
+                        groups,
+                        self._preferred(service.engine, domain, domains),
+                    )
 
     def loads_begun(self) -> int:
         """Returns the own loads within the window of the limit."""
@@ -148,6 +149,7 @@
         service: table.Service,
         members: list[workers.Worker],
         groups: Mapping[Key, workers.Group],
+        preferred: table.Model | None,
     ) -> None:
         engine = service.engine
         assert engine is not None
@@ -183,14 +185,14 @@
             },
         )
         taken: set[str] = set()
-        for formation in self._formations(engine, free, needs, len(members)):
+        for formation in self._formations(engine, free, needs, preferred):
             self._begin(service, formation)
             taken |= {member.worker.id for member in formation.members}
         self._stage(
             engine,
             needs,
             [item for item in free if item.worker.id not in taken],
-            members,
+            preferred,
         )
 
     def _review(self, engine: table.Engine, group: workers.Group) -> None:
@@ -216,32 +218,61 @@
             and not lost
             and not leaving
             and key not in self.closed
+            and ("close", key) not in self._tasks
             and not any(w.id in self._busy for w in members)
         ):
             self._adopt(group, model)
 
+    def _preferred(
+        self,
+        engine: table.Engine,
+        domain: str,
+        domains: Mapping[str, list[workers.Worker]],
+    ) -> table.Model | None:
+        """Returns the model that a domain is for.
+
+        Within such a domain each spare and each member of a broken group is
+        warm for every repair. A domain that has workers for a model stays
+        with it; before that, domains are dealt out by the declared shares.
+        """
+        warm = collections.Counter(
+            model
+            for worker in domains[domain]
+            for model in worker.staged.union(worker.models[:1])
+        )
+        warm.update(
+            self._busy[worker.id]
+            for worker in domains[domain]
+            if worker.id in self._busy
+        )
+        if warm:
+            return engine.model(warm.most_common(1)[0][0])
+        if len(domains) < len(engine.models):
+            return None
+        sizes = {
+            name: (members[0].zone, len(members))
+            for name, members in domains.items()
+        }
+        return planner.assign(engine, sizes).get(domain)
+
     def _formations(
         self,
         engine: table.Engine,
         free: list[planner.Free],
         needs: Mapping[str, planner.Need],
-        size: int,
+        preferred: table.Model | None,
     ) -> list[planner.Formation]:
-        """Returns the groups to form now in a domain of `size` workers.
+        """Returns the groups to form now.
 
         Workers that have to load a model first are staged as spares, so that
         a later repair takes the time of a warm start. Only a model under
         pressure gets groups that have to load.
         """
-        reserve = math.ceil(SPARE_SHARE * size)
         if not self.needs.begun:
-            return planner.form(
-                free, engine, needs, len(free), len(free) - reserve
-            )
-        enough = {n for n, need in needs.items() if need.above(ENOUGH)}
-        formed = planner.form(
-            free, engine, needs, 0, len(free) - reserve, enough
-        )
+            if preferred is not None:
+                needs = {preferred.name: needs[preferred.name]}
+            return planner.form(free, engine, needs, len(free))
+        formed = planner.form(free, engine, needs, 0)
         taken = {member for f in formed for member in f.members}
         left = [item for item in free if item not in taken]
         pressing = {
@@ -284,7 +315,7 @@
         if worker.membership is None:
             return True
         key = (worker.membership.group, worker.membership.epoch)
-        if key in self.forming:
+        if key in self.forming or ("adopt", key) in self._tasks:
             return False
         if key in self.closed:
             return True
@@ -293,38 +324,51 @@
             assert head.membership is not None
             if head.membership.state in SERVING:
                 return self._is_lost(head) and self._headless(key)
-            return head.membership.state is workers.MemberState.BROKEN or (
-                ("adopt", key) not in self._tasks
-            )
-        former = self.known.workers.get(self._heads.get(key, ""))
-        if former is not None and not self._is_lost(former):
+            return ("close", key) not in self._tasks
+        former = self._heads.get(key)
+        present = former and self.known.workers.get(former.id)
+        if present is not None and not self._is_lost(present):
             # The head is alive and in no group or in another one.
             return True
         return self._headless(key)
 
     def _headless(self, key: Key) -> bool:
-        """Whether the head of a group has been gone for long enough.
+        """Whether the members of a group without its head may be reused."""
+        if key not in self.orphaned:
+            self._spawn(("orphan", key), self._orphan(key))
+        return key in self.orphaned
+
+    async def _orphan(self, key: Key) -> None:
+        """Ends a group whose head vanished or was found lost.
 
-        A head that only this gateway and the store can't reach stands still
-        until it is broken; until then its members belong to it.
+        A head that only the store can't reach still serves and is closed.
+        One that can't be reached at all stays head until its members leave.
         """
-        now_ms = self.clock.now_ms()
-        since_ms = self._headless_ms.setdefault(key, now_ms)
-        return (
-            now_ms - since_ms >= self.config.workers.stall_ms + STALL_MARGIN_MS
-        )
+        head = self._heads.get(key)
+        for _ in range(ORPHAN_LOOKS if head is not None else 0):
+            assert head is not None
+            report = await self.orders.report(head, REPORT_TIMEOUT_MS)
+            if isinstance(report, interfaces.Report):
+                if _serves(report, key):
+                    await self._close_head(head, key, True)
+                else:
+                    self.closed.add(key)
+                return
+            if report is interfaces.OrderResult.REFUSED:
+                break
+        self.orphaned.add(key)
 
     def _remember_heads(self, groups: Mapping[Key, workers.Group]) -> None:
         for key, group in groups.items():
             if group.head is not None:
-                self._heads[key] = group.head.id
+                self._heads[key] = group.head
                 if not self._is_lost(group.head):
-                    self._headless_ms.pop(key, None)
-        for known in (self._heads, self._headless_ms):
-            for key in tuple(known):
-                if key not in groups:
-                    del known[key]
+                    self.orphaned.discard(key)
+        for key in tuple(self._heads):
+            if key not in groups:
+                del self._heads[key]
         self.closed &= set(groups)
+        self.orphaned &= set(groups)
 
     def _is_lost(self, worker: workers.Worker) -> bool:
         return self.evidence.is_lost(worker.id, worker.born_ms)
@@ -424,11 +468,12 @@
                 self._busy.pop(worker.id, None)
 
     async def _release_heads(self, members: list[workers.Worker]) -> None:
-        """Takes heads of former groups out of them before the others.
+        """Takes heads of former groups out of them before anything else.
 
-        A late order to open finds no group then.
+        A late order to open finds no group then, also where the head itself
+        joins the new group.
         """
-        ids = {worker.id for worker in members}
+        left: set[str] = set()
         groups = self.known.groups()
         for worker in members:
             if worker.membership is None:
@@ -436,8 +481,12 @@
             key = (worker.membership.group, worker.membership.epoch)
             group = groups.get(key)
             head = group.head if group is not None else None
-            if head is None or head.id in ids or self._is_lost(head):
+            if key in self.orphaned:
+                # Its head may stand still and not be broken yet.
+                head = worker
+            if head is None or head.id in left or self._is_lost(head):
                 continue
+            left.add(head.id)
             await self._ordered(
                 head,
                 lambda fence, head=head, key=key: self.orders.leave(  # type: ignore[misc]
@@ -458,12 +507,8 @@
                 ),
             )
 
-        first = [w for w in members if _is_head(w)]
-        for worker in first:
-            await join(worker)
         results = await asyncio.gather(
-            *(join(w) for w in members if not _is_head(w)),
-            return_exceptions=True,
+            *(join(worker) for worker in members), return_exceptions=True
         )
         for result in results:
             if isinstance(result, BaseException):
@@ -535,11 +580,16 @@
             until_ms = self.clock.now_ms() + DRAIN_WAIT_MS
             while self.loads.at(head.id) and self.clock.now_ms() < until_ms:
                 await self.clock.sleep_ms(STEP_MS)
+        await self._close_head(head, key, not graceful)
+
+    async def _close_head(
+        self, head: workers.Worker, key: Key, abrupt: bool
+    ) -> None:
         try:
             await self._ordered(
                 head,
                 lambda fence: self.orders.close_group(
-                    head, fence, *key, not graceful
+                    head, fence, *key, abrupt
                 ),
             )
         except FormationError as error:
@@ -549,10 +599,8 @@
         until_ms = self.clock.now_ms() + 2 * self.config.workers.stall_ms
         while self.clock.now_ms() < until_ms:
             report = await self.orders.report(head, REPORT_TIMEOUT_MS)
-            if isinstance(report, interfaces.Report) and (
-                report.membership is None
-                or (report.membership.group, report.membership.epoch) != key
-                or report.membership.state not in SERVING
+            if isinstance(report, interfaces.Report) and not _serves(
+                report, key
             ):
                 self.closed.add(key)
                 log.info("group closed", group=key[0])
@@ -636,42 +684,20 @@
         engine: table.Engine,
         needs: Mapping[str, planner.Need],
         spare: list[planner.Free],
-        members: list[workers.Worker],
+        preferred: table.Model | None,
     ) -> None:
         """Loads models onto hosts of spare workers that have none."""
-        cold = [
-            item.worker
-            for item in spare
-            if not item.worker.staged
-            and not item.worker.models
-            and (item.worker.id, item.worker.born_ms) not in self._staging
-        ]
-        if not cold:
-            return
-        warm = collections.Counter(
-            model for item in spare for model in item.worker.staged
-        )
-        for worker in members:
-            staging = self._staging.get((worker.id, worker.born_ms))
-            if staging is not None and not worker.staged:
-                warm[staging] += 1
-        serving = collections.Counter(
-            self._busy.get(worker.id) or worker.models[0]
-            for worker in members
-            if worker.id in self._busy
-            or (worker.membership is not None and worker.models)
-        )
-        for worker in cold:
+        model = planner.spare_model(engine, needs, preferred)
+        for item in spare:
+            worker = item.worker
+            mark = (worker.id, worker.born_ms)
+            if worker.staged or worker.models or mark in self._staging:
+                continue
             if self._loads_left(engine) < 1:
                 return
-            model = planner.spare_model(engine, needs, warm, serving)
-            warm[model.name] += 1
-            self._staging[worker.id, worker.born_ms] = model.name
+            self._staging.add(mark)
             self._count_loads(1)
-            self._spawn(
-                ("stage", worker.id, worker.born_ms),
-                self._stage_one(worker, model),
-            )
+            self._spawn(("stage", *mark), self._stage_one(worker, model))
 
     async def _stage_one(
         self, worker: workers.Worker, model: table.Model
@@ -736,8 +762,14 @@
         task.add_done_callback(ended)
 
 
-def _is_head(worker: workers.Worker) -> bool:
-    return worker.membership is not None and worker.membership.rank == 0
+def _serves(report: interfaces.Report, key: Key) -> bool:
+    """Whether a head serves a group, by its report."""
+    membership = report.membership
+    return (
+        membership is not None
+        and (membership.group, membership.epoch) == key
+        and membership.state in SERVING
+    )
 
 
 def _ready_in(membership: workers.Membership | None, key: Key) -> bool:
