Count planned conversions everywhere and keep warm workers

Cause: after the loss of all gateways four owners converted a group at once, and three workers warm for the larger model were loaded anew for the smaller one while the larger one ran short. Change: heartbeats carry planned conversions; a refused request counts half, as callers come back once; warm workers of a model above a pressure of 0.4 stay with it.

--- a/oleanderbay/gateway/demand.py
+++ b/oleanderbay/gateway/demand.py
@@ -10,6 +10,8 @@
 # Time constant of the mean; short enough to follow a wave of traffic, long
 # enough not to follow single requests.
 SMOOTHING_MS = 3_000
+# Callers come back after a refusal, so that one request is refused twice.
+REFUSED_WEIGHT = 0.5
 
 
 class Demand:
@@ -40,7 +42,7 @@
 
     def turned_away(self, model: str, service_ms: float) -> None:
         """Counts a request that found no place, with its predicted time."""
-        self._turned_ms[model] += round(service_ms)
+        self._turned_ms[model] += round(REFUSED_WEIGHT * service_ms)
 
     def told(self, peer_id: str, means: Mapping[str, float]) -> None:
         """Takes the means of a peer."""
--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -252,6 +252,7 @@
         live = frozenset(self.peers.live)
         self.loads.keep(live)
         self.demand.keep(live)
+        self.keeper.keep(live)
         self.evidence.keep(live, frozenset(self.known.workers))
         return {
             "ready": self.ready(),
@@ -261,6 +262,7 @@
             "suspects": self.evidence.suspects(),
             "lost": self.evidence.lost,
             "loads_begun": self.keeper.loads_begun(),
+            "planned": self.keeper.planned(),
             "serving": self.demand.begun,
         }
 
@@ -270,6 +272,7 @@
         self.demand.told(peer.id, dict(body["demand"]))
         self.evidence.told(peer.id, body["suspects"], dict(body["lost"]))
         self.keeper.told_loads[peer.id] = int(body["loads_begun"])
+        self.keeper.told_planned[peer.id] = dict(body["planned"])
         if body["serving"]:
             self.demand.begun = True
 
--- a/oleanderbay/gateway/keeper.py
+++ b/oleanderbay/gateway/keeper.py
@@ -42,6 +42,8 @@
 # Loads before the first request take this part of their time.
 EARLY_LOAD_SHARE = 0.1
 EPOCH_BITS = 16
+# Pressure from which the warm workers of a model are kept for it.
+ENOUGH = 0.4
 # Pressure of a model below which it may give up a group, counted without it,
 # and how often the owner of a domain considers it.
 SURPLUS = 0.6
@@ -96,6 +98,8 @@
         self.orphaned: set[Key] = set()
         self.begun_loads: collections.deque[int] = collections.deque()
         self.told_loads: dict[str, int] = {}
+        self.told_planned: dict[str, Mapping[str, int]] = {}
+        self._planned: list[tuple[int, str]] = []
         # Workers that are being made members, with the model.
         self._busy: dict[str, str] = {}
         self._heads: dict[Key, workers.Worker] = {}
@@ -144,6 +148,19 @@
             self.begun_loads.popleft()
         return len(self.begun_loads)
 
+    def keep(self, peer_ids: frozenset[str]) -> None:
+        """Forgets what all other peers said."""
+        for told in (self.told_loads, self.told_planned):
+            for peer_id in tuple(told):
+                if peer_id not in peer_ids:
+                    del told[peer_id]
+
+    def planned(self) -> dict[str, int]:
+        """Returns groups by model that conversions will soon allow."""
+        now_ms = self.clock.now_ms()
+        self._planned = [item for item in self._planned if item[0] > now_ms]
+        return dict(collections.Counter(model for _, model in self._planned))
+
     def _domain(
         self,
         service: table.Service,
@@ -280,9 +297,19 @@
             for name, need in needs.items()
             if need.above(planner.PRESSING)
         }
-        if pressing and left:
+        if pressing:
+            # What is warm for a model that needs it is not loaded anew.
+            idle = [
+                item
+                for item in left
+                if not any(
+                    needs[model].above(ENOUGH)
+                    for model in item.worker.staged
+                    if model in needs and model not in pressing
+                )
+            ]
             formed += planner.form(
-                left, engine, pressing, self._loads_left(engine)
+                idle, engine, pressing, self._loads_left(engine)
             )
         return formed
 
@@ -388,6 +415,9 @@
                 capacity[model.name] = (
                     capacity.get(model.name, 0.0) + engine.slots
                 )
+        for planned in (self.planned(), *self.told_planned.values()):
+            for name, count in planned.items():
+                capacity[name] = capacity.get(name, 0.0) + count * engine.slots
         for key, group in groups.items():
             found = engine.model(group.model)
             if found is None or key in self.closed:
