Restart a part of the gateway after a fault

Cause: a fault in a feed or in the keeper would have stopped it for the rest of the process. Change: each part runs under a supervisor that logs the fault and starts it again; numbers out of range are malformed records.

--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -3,7 +3,7 @@
 import json
 import random
 import uuid
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import mode
@@ -162,14 +162,14 @@
         await self.sender.start()
         await self.peers.start()
         await self.listeners.start()
-        for work in (
-            *(followed.run() for followed in self.feeds.values()),
-            self.peers.run(),
-            self.duties.run(),
-            self.keeper.run(),
-            self._announce(),
+        for run in (
+            *(followed.run for followed in self.feeds.values()),
+            self.peers.run,
+            self.duties.run,
+            self.keeper.run,
+            self._announce,
         ):
-            self.add_future(work)
+            self.add_future(self._supervise(run))
         log.info(
             "gateway started",
             id=self.config.entry.id,
@@ -247,6 +247,18 @@
         await self.listeners.close(STOP_STEP_MS)
         await self.stop()
 
+    async def _supervise(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Runs a part again after a fault, which would stop it for good."""
+        while True:
+            try:
+                await run()
+                return
+            except Exception as error:
+                log.error(
+                    "part failed", part=run.__qualname__, error=repr(error)
+                )
+            await self.clock.sleep_ms(RETRY_MS)
+
     def _contents(self) -> dict[str, Any]:
         """Returns what the next heartbeat says of this gateway."""
         live = frozenset(self.peers.live)
--- a/oleanderbay/platform/records.py
+++ b/oleanderbay/platform/records.py
@@ -19,7 +19,14 @@
     "closing": workers.MemberState.CLOSING,
     "broken": workers.MemberState.BROKEN,
 }
-MALFORMED = (AttributeError, IndexError, KeyError, TypeError, ValueError)
+MALFORMED = (
+    ArithmeticError,
+    AttributeError,
+    IndexError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
 
 
 class JsonDecoder:
