--- /dev/null
+++ b/bench/naive_planning.py
@@ -0,0 +1,33 @@
+"""First fit: the plan for free workers that the planner is compared with."""
+
+from collections.abc import Mapping, Sequence
+
+from oleanderbay.gateway import planner, table
+
+
+def first_fit(
+    free: Sequence[planner.Free],
+    engine: table.Engine,
+    needs: Mapping[str, planner.Need],
+    max_loads: int,
+) -> list[planner.Formation]:
+    """Forms groups of each model, in order, until its demand is met.
+
+    The first workers are taken, whatever is staged on their hosts.
+    """
+    left = list(free)
+    formed: list[planner.Formation] = []
+    for model in engine.models:
+        need = needs[model.name]
+        capacity = need.capacity
+        while capacity < need.demand and len(left) >= model.size:
+            members = tuple(left[: model.size])
+            loads = sum(planner.needs_load(m, model) for m in members)
+            if loads > max_loads:
+                break
+            ready_ms = max(planner.join_ms(m, model) for m in members)
+            formed.append(planner.Formation(model, members, ready_ms, loads))
+            del left[: model.size]
+            max_loads -= loads
+            capacity += engine.slots
+    return formed
