--- a/oleanderbay/gateway/keeper.py
+++ b/oleanderbay/gateway/keeper.py
@@ -9,6 +9,7 @@
 import structlog
 
 from oleanderbay.gateway import (
+    affinity,
     demand,
     duties,
     health,
@@ -44,9 +45,7 @@
 EPOCH_BITS = 16
 # Pressure from which the warm workers of a model are kept for it.
 ENOUGH = 0.4
-# Pressure of a model below which it may give up a group, counted without it,
-# and how often the owner of a domain considers it.
-SURPLUS = 0.6
+# How often the owner of a domain considers to convert a group.
 SURPLUS_CHANCE = 0.04
 
 SERVING = (workers.MemberState.OPEN, workers.MemberState.CLOSING)
@@ -270,7 +269,7 @@
             name: (members[0].zone, len(members))
             for name, members in domains.items()
         }
-        return planner.assign(engine, sizes).get(domain)
+        return affinity.assign(engine, sizes).get(domain)
 
     def _formations(
         self,
@@ -684,30 +683,33 @@
         now and then; the next one counts what was begun.
         """
         pressing = max(
-            (m for m in engine.models if needs[m.name].above(planner.PRESSING)),
+            engine.models,
             key=lambda m: needs[m.name].demand / (needs[m.name].capacity + 1),
-            default=None,
         )
-        if pressing is None or self._loads_left(engine) < pressing.size:
+        if self._loads_left(engine) < pressing.size:
             return
-        able = []
+        able = {}
         for group in groups:
-            model = engine.model(group.model)
-            if model is None or model is pressing or not group.open:
-                continue
-            if ("close", (group.name, group.epoch)) in self._tasks:
+            key = (group.name, group.epoch)
+            if ("close", key) in self._tasks:
                 return
-            need = needs[model.name]
-            rest = planner.Need(need.demand, need.capacity - engine.slots)
-            if rest.above(SURPLUS) or free + model.size < pressing.size:
-                continue
-            able.append(group)
-        if able:
-            least = min(able, key=lambda g: self.loads.at(g.members[0].id))
-            log.info("group converted", group=least.name, model=pressing.name)
-            self._spawn(
-                ("close", (least.name, least.epoch)), self._close(least, True)
-            )
+            if group.open:
+                able[key] = planner.OpenGroup(
+                    group.name,
+                    group.epoch,
+                    group.model,
+                    self.loads.at(group.members[0].id),
+                )
+        chosen = planner.surplus(engine, needs, able.values(), free)
+        if chosen is None:
+            return
+        log.info("group converted", group=chosen.name, model=pressing.name)
+        self._planned.append(
+            (self.clock.now_ms() + self.config.workers.stall_ms, pressing.name)
+        )
+        key = (chosen.name, chosen.epoch)
+        closed = next(g for g in groups if (g.name, g.epoch) == key)
+        self._spawn(("close", key), self._close(closed, True))
 
     def _stage(
         self,
@@ -717,7 +719,7 @@
         preferred: table.Model | None,
     ) -> None:
         """Loads models onto hosts of spare workers that have none."""
-        model = planner.spare_model(engine, needs, preferred)
+        model = affinity.spare_model(engine, needs, preferred)
         for item in spare:
             worker = item.worker
             mark = (worker.id, worker.born_ms)
