Skip records with deep nesting or lone surrogates

Cause: nesting beyond the recursion limit raises RecursionError, which was not caught, and a lone surrogate raises in encode() later; one damaged record ended the task that follows the topic or the review of the domains. Change: the decoder treats the first as malformed and checks that text can be encoded.

--- a/oleanderbay/platform/records.py
+++ b/oleanderbay/platform/records.py
@@ -19,11 +19,14 @@
     "closing": workers.MemberState.CLOSING,
     "broken": workers.MemberState.BROKEN,
 }
+# A number that is infinite is an arithmetic error, and a deeply nested text
+# exceeds the recursion limit.
 MALFORMED = (
     ArithmeticError,
     AttributeError,
     IndexError,
     KeyError,
+    RecursionError,
     TypeError,
     ValueError,
 )
@@ -90,7 +93,7 @@
         service=_text(body["service"]),
         address=f"{host}:{port}",
         zone=_text(body["zone"]),
-        domain=str(body.get("domain") or ""),
+        domain=_text(str(body["domain"])) if body.get("domain") else "",
         slots=slots,
         draining=state == "draining",
         cold_ms=int(body.get("cold_remaining_ms") or 0),
@@ -105,6 +108,8 @@
 def _text(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise TypeError(f"expected text, found {value!r}")
+    # JSON can hold lone surrogates, which no protocol can carry.
+    value.encode()
     return value
 
 
--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,133 @@
+"""Tests of the records' conversion: damaged ones identify nothing."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from oleanderbay.gateway import table, workers
+from oleanderbay.platform import records
+
+WORKER = {
+    "service": "chat",
+    "address": "127.0.0.1:9001",
+    "zone": "z1",
+    "domain": "d1",
+    "state": "ready",
+    "slots": 4,
+    "born": 17,
+    "models": [{"name": "small"}],
+    "staged": [{"name": "small"}, "large"],
+    "group": {"name": "g", "epoch": 65_537, "rank": 1, "state": "open"},
+}
+ROUTE = {
+    "name": "r",
+    "host": "Api.Test",
+    "path_prefix": "/",
+    "kind": "streaming",
+    "timeout_ms": 1_000,
+    "service": "chat",
+}
+CONFIGURATION = {
+    "version": 3,
+    "routes": [ROUTE, {**ROUTE, "name": "long", "path_prefix": "/long/"}],
+    "services": [{"name": "chat", "engine": {"slots": 2}}],
+    "tenants": [{"name": "team", "api_keys": ["k1", "k2"], "priority": 4}],
+    "limits": {"max_body_bytes": 10},
+}
+DECODER = records.JsonDecoder()
+
+
+def worker(**changes):
+    return DECODER.worker("w1", json.dumps({**WORKER, **changes}).encode())
+
+
+def test_a_worker_is_read_whole():
+    """A field that is lost makes a group look incomplete."""
+    found = worker()
+    assert isinstance(found, workers.Worker)
+    assert found.membership == workers.Membership(
+        group="g", epoch=65_537, rank=1, state=workers.MemberState.OPEN
+    )
+    assert found.staged == {"small", "large"} and found.models == ("small",)
+    assert (found.id, found.born_ms, found.slots) == ("w1", 17, 4)
+    assert worker(group=None).membership is None
+    assert worker(state="draining").draining
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "gone"},
+        {"state": ["ready"]},
+        {"address": "9001"},
+        {"address": "127.0.0.1:0"},
+        {"address": "127.0.0.1:x"},
+        {"slots": 0},
+        {"slots": True},
+        {"service": None},
+        {"zone": ""},
+        {"models": [{}]},
+        {"group": {"name": "g"}},
+        {"group": {**WORKER["group"], "state": "flying"}},
+        {"born": float("inf")},
+        {"cold_remaining_ms": 1e999},
+        {"domain": "\ud800"},
+    ],
+)
+def test_a_damaged_worker_identifies_nothing(changes):
+    """Requests would go astray, or the exception would end the feed."""
+    assert isinstance(worker(**changes), str)
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"\xff", b"null", b"[1]", b'"x"', b"{", b"[" * 100_000]
+)
+def test_foreign_values_are_skipped(value):
+    """A foreign record must not end the task that follows the topic."""
+    assert isinstance(DECODER.worker("w1", value), str)
+    assert isinstance(DECODER.table(value), str)
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.floats() | st.integers() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=3), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.data())
+def test_no_value_of_a_field_raises(data):
+    """Each field may hold anything; an exception would stop the feed."""
+    for whole, decode in (
+        (WORKER, lambda value: DECODER.worker("w1", value)),
+        (CONFIGURATION, DECODER.table),
+    ):
+        field = data.draw(st.sampled_from(sorted(whole)))
+        decode(json.dumps({**whole, field: data.draw(JSON)}).encode())
+
+
+def test_a_configuration_is_read_whole():
+    """A route or key that is lost refuses valid requests."""
+    found = DECODER.table(json.dumps(CONFIGURATION).encode())
+    assert isinstance(found, table.RoutingTable)
+    assert found.version == 3 and found.keyed
+    assert found.route("api.test", "/long/x").name == "long"
+    assert found.route("api.test", "/other").name == "r"
+    assert found.route("other.test", "/") is None
+    assert found.team("k2") == table.Team(name="team", priority=4)
+    assert found.team("k3") is None
+    assert found.limits.max_body_bytes == 10
+    assert found.services["chat"].engine.slots == 2
+
+
+@pytest.mark.parametrize("field", ["version", "routes", "services"])
+def test_a_torn_configuration_is_refused_as_a_whole(field):
+    """Half a version in force would refuse valid requests."""
+    torn = {k: v for k, v in CONFIGURATION.items() if k != field}
+    assert isinstance(DECODER.table(json.dumps(torn).encode()), str)
