Bound the sum of requests to a cold worker for any number of gateways

Change: where a share is below one, only the first cold_per_s gateways in the order that a hash of worker and host gives may send.

--- a/oleanderbay/gateway/budget.py
+++ b/oleanderbay/gateway/budget.py
@@ -69,21 +69,28 @@
     """Limits requests to a worker in its cold start."""
 
     def __init__(
-        self, clock: clocks.Clock, gateways: Callable[[], int]
+        self,
+        clock: clocks.Clock,
+        gateways: Callable[[], int],
+        rank: Callable[[str], int],
     ) -> None:
         self.clock = clock
         self.gateways = gateways
+        self.rank = rank
         self._sent: dict[str, collections.deque[int]] = {}
 
     def available(self, worker_id: str, per_s: float) -> bool:
         """Whether a cold worker may get a request now."""
-        times = self._sent.get(worker_id)
-        if not times:
-            return True
+        share = per_s / max(1, self.gateways())
+        if share < 1:
+            # One request of each gateway would be more than the limit, so
+            # only the first gateways in the worker's own order send any.
+            share = float(self.rank(worker_id) < max(1.0, per_s))
+        times = self._sent.setdefault(worker_id, collections.deque())
         before_ms = self.clock.now_ms() - 1_000
         while times and times[0] <= before_ms:
             times.popleft()
-        return len(times) + 1 <= max(1.0, per_s / max(1, self.gateways()))
+        return len(times) + 1 <= share
 
     def sent(self, worker_id: str) -> None:
         """Counts a request to a cold worker."""
--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -104,7 +104,7 @@
             self.known,
             self.evidence,
             self.loads,
-            budget.ColdBudget(self.clock, self.peers.known),
+            budget.ColdBudget(self.clock, self.peers.known, self.peers.rank),
             self.rng,
             config.entry.zone,
         )
--- a/oleanderbay/gateway/peers.py
+++ b/oleanderbay/gateway/peers.py
@@ -7,6 +7,7 @@
 
 import msgpack
 import structlog
+import xxhash
 
 from oleanderbay.connection import frames
 from oleanderbay.gateway import feed, interfaces
@@ -150,6 +151,24 @@
             count = max(count, 1 + others)
         return count
 
+    def rank(self, key: str) -> int:
+        """Returns this gateway's place in the order of gateways for a key."""
+        now_ms = self.clock.now_ms()
+        forget_ms = self.config.peers.forget_ms
+        hosts = {
+            peer.host
+            for peer in self._seen.values()
+            if now_ms - peer.heard_ms < forget_ms
+        }
+        if now_ms - self._started_ms < forget_ms:
+            hosts.update(self.addresses)
+        own = self.config.entry.host
+        place = xxhash.xxh64_intdigest(f"{key}/{own}".encode())
+        return sum(
+            xxhash.xxh64_intdigest(f"{key}/{host}".encode()) < place
+            for host in hosts - {own}
+        )
+
     def learn(self, host: str, peer_id: str) -> None:
         """Takes note of an address at which a gateway may be."""
         if peer_id != self.id:
