Let requests pass one that has had the free worker

Cause: a request at the head of the queue that had tried the only worker with room kept all others from it until its own wait ended, up to a whole target. Change: requests that have tried a worker wait apart and are woken as well.

--- a/oleanderbay/gateway/waiting.py
+++ b/oleanderbay/gateway/waiting.py
@@ -20,7 +20,7 @@
     def __init__(self, choices: choice.Choice, clock: clocks.Clock) -> None:
         self.choices = choices
         self.clock = clock
-        self._queues: dict[tuple[str, str], list[_Waiter]] = {}
+        self._queues: dict[tuple[str, str, bool], list[_Waiter]] = {}
         self._sequence = itertools.count()
 
     async def place(
@@ -40,12 +40,19 @@
             priority: 0 is the most urgent.
             until_ms: Monotonic time at which the wait ends.
         """
-        queue = self._queues.setdefault((service.name, model), [])
+        # A request that has had workers may be unable to use the free ones,
+        # so it waits apart and keeps nobody else from them.
+        again = bool(tried)
+        queue = self._queues.setdefault((service.name, model, again), [])
         waiter: _Waiter | None = None
         loop = asyncio.get_running_loop()
         try:
             while True:
-                ahead = bool(queue) and (waiter is None or queue[0] < waiter)
+                ahead = (
+                    not again
+                    and bool(queue)
+                    and (waiter is None or queue[0] < waiter)
+                )
                 found = choice.Missing.FULL
                 if not ahead:
                     picked = self.choices.pick(service, model, tried)
@@ -74,10 +81,11 @@
                 self._remove(queue, waiter)
 
     def wake(self, service: str, model: str) -> None:
-        """Lets the most urgent request look again."""
-        queue = self._queues.get((service, model))
-        if queue and not queue[0][2].done():
-            queue[0][2].set_result(None)
+        """Lets the most urgent requests look again."""
+        for again in (True, False):
+            queue = self._queues.get((service, model, again))
+            if queue and not queue[0][2].done():
+                queue[0][2].set_result(None)
 
     def _remove(self, queue: list[_Waiter], waiter: _Waiter) -> None:
         if waiter in queue:
