Open no group after a member that was ready is lost

Change: all members are checked against their newest records before each decision. Result: the three cases of test_no_group_opens_after_a_ready_member_is_lost fail without the change and pass with it.

--- a/oleanderbay/gateway/keeper.py
+++ b/oleanderbay/gateway/keeper.py
@@ -568,6 +568,9 @@
                     worker, key, look
                 ):
                     ready.add(worker.id)
+            # A member may be lost while the others become ready.
+            for worker in members:
+                self._present(worker)
             if len(ready) == len(members):
                 break
             if self.clock.now_ms() >= give_up_ms:
@@ -580,14 +583,23 @@
         # Until the head's record says that it is open.
         await self.clock.sleep_ms(2 * self.config.store.worker_interval_ms)
 
-    async def _is_ready(
-        self, worker: workers.Worker, key: Key, look: bool
-    ) -> bool:
+    def _present(self, worker: workers.Worker) -> workers.Worker:
+        """Returns the newest record of a member.
+
+        Raises:
+            FormationError: The member is lost or leaves.
+        """
         known = self.known.workers.get(worker.id)
         if known is None or known.born_ms != worker.born_ms:
             raise FormationError(f"{worker.id} is gone")
         if self._is_lost(worker) or known.draining:
             raise FormationError(f"{worker.id} is lost or leaves")
+        return known
+
+    async def _is_ready(
+        self, worker: workers.Worker, key: Key, look: bool
+    ) -> bool:
+        known = self._present(worker)
         if _ready_in(known.membership, key):
             return True
         if not look:
