Reset the connection of an HTTP/1.0 caller whose stream broke off

Change: such a connection is reset; for HTTP/1.1 the missing last chunk shows the same. Result: test_a_caller_without_chunks_sees_a_broken_stream fails without the change and passes with it. The end-to-end test of two gateways, a store and six workers passes.

--- a/oleanderbay/gateway/listener.py
+++ b/oleanderbay/gateway/listener.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import json
+import socket
+import struct
 from collections.abc import Callable
 from typing import Any
 
+import aiohttp
 import multidict
 import structlog
 from aiohttp import web
@@ -23,6 +26,8 @@
 # cross its next request.
 KEEPALIVE_S = 600
 BACKLOG = 1_024
+# Value of SO_LINGER: discard what is unsent and reset.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 log = structlog.get_logger()
 
@@ -85,8 +90,18 @@
 
     def cut(self) -> None:
         """Ends the connection, so that the answer is seen as incomplete."""
-        if self.request.transport is not None:
-            self.request.transport.close()
+        transport = self.request.transport
+        if transport is None:
+            return
+        if self.request.version < aiohttp.HttpVersion11:
+            # Without chunks the end of the connection ends the answer, so
+            # that only a reset shows that it is incomplete.
+            transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+            transport.abort()
+        else:
+            transport.close()
 
     def _prepare(self, response: web.StreamResponse) -> None:
         self.started = True
--- /dev/null
+++ b/tests/gateway/test_entry.py
@@ -0,0 +1,214 @@
+"""Two gateways, a store and six workers on loopback ports."""
+
+import asyncio
+import contextlib
+import json
+import socket
+
+import aiohttp
+import pytest
+
+from oleanderbay.gateway import entry, settings
+from oleanderbay.platform import ingress, names, orders, records, store
+from oleanderbay.standins import group_worker, metadata_store
+from tests.gateway import parts
+
+HOSTS = ("127.0.0.1", "127.0.0.2")
+ROUTE = {
+    "host": "api",
+    "kind": "streaming",
+    "timeout_ms": 10_000,
+    "target_latency_ms": 1_000,
+    "target_gap_ms": 300,
+    "max_attempts": 3,
+    "service": "chat",
+}
+CONFIGURATION = {
+    "version": 1,
+    "routes": [
+        {**ROUTE, "name": "r", "path_prefix": "/stream/", "resumable": True},
+        {**ROUTE, "name": "w", "path_prefix": "/stream/whole/"},
+    ],
+    "services": [
+        {
+            "name": "chat",
+            "engine": {
+                "slots": 4,
+                "loads_per_s": 100,
+                "models": [{"name": "small", "size": 2, "share": 1}],
+            },
+        }
+    ],
+}
+STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(5))
+
+
+def free_port(host="127.0.0.1"):
+    with socket.socket() as found:
+        found.bind((host, 0))
+        return found.getsockname()[1]
+
+
+class Site:
+    """Everything that runs, and the workers' records in the store."""
+
+    def __init__(self):
+        self.store = metadata_store.MetadataStore()
+        self.workers = []
+        self.gateways = []
+        self.session = aiohttp.ClientSession()
+
+    async def start(self, stack):
+        stack.push_async_callback(self.session.close)
+        await self.store.start()
+        stack.push_async_callback(self.store.close)
+        await self.store.put(
+            names.CONFIGURATION_TOPIC,
+            names.CONFIGURATION_KEY,
+            json.dumps(CONFIGURATION).encode(),
+        )
+        for number in range(6):
+            one = group_worker.GroupWorker(f"w{number}")
+            await one.start()
+            stack.push_async_callback(one.close)
+            self.workers.append(one)
+        task = asyncio.create_task(self._publish())
+        stack.callback(task.cancel)
+        port = free_port()
+        for number, host in enumerate(HOSTS):
+            await self._gateway(stack, f"g{number}", host, port)
+
+    async def _gateway(self, stack, name, host, port):
+        config = settings.Settings(
+            entry=settings.EntrySettings(id=name, zone="z1", host=host),
+            listeners=settings.ListenerSettings(
+                callers=f"{host}:{free_port(host)}",
+                readiness=f"{host}:{free_port(host)}",
+            ),
+            peers=settings.PeerSettings(port=port, heartbeat_ms=50),
+            store=settings.StoreSettings(
+                address=self.store.address,
+                worker_interval_ms=50,
+                join_interval_ms=50,
+            ),
+            workers=settings.WorkerSettings(heartbeat_ms=200),
+            stop=settings.StopSettings(directory_ttl_ms=50),
+        )
+        client = store.HttpStore(self.store.address, 1, 500)
+        giver = orders.HttpOrders(600, 250)
+        for one in (client, giver):
+            await one.start()
+            stack.push_async_callback(one.close)
+        made = entry.Gateway(
+            config,
+            client,
+            giver,
+            records.JsonDecoder(),
+            ingress.HeaderTranslator(),
+        )
+        await made.start()
+        stack.push_async_callback(made.stop)
+        self.gateways.append(made)
+
+    async def _publish(self):
+        """Writes each record that changed."""
+        written = {}
+        while True:
+            for one in self.workers:
+                body = json.dumps(one.record()).encode()
+                if written.get(one.id) != body:
+                    written[one.id] = body
+                    await self.store.put(names.WORKERS_TOPIC, one.id, body)
+            await asyncio.sleep(0.02)
+
+    def open_groups(self, gateway):
+        return [g for g in gateway.status()["groups"] if g["open"]]
+
+    async def call(self, gateway, path, begun=None):
+        async with self.session.post(
+            f"http://{gateway.config.listeners.callers}{path}",
+            headers={
+                "Host": "api",
+                names.REQUEST_ID: "r1",
+                names.MODEL: "small",
+            },
+            data=b"prompt",
+        ) as response:
+            body = b""
+            async for part in response.content.iter_any():
+                body += part
+                if begun is not None:
+                    begun.set()
+            return response.status, body
+
+
+@pytest.fixture
+async def site():
+    async with contextlib.AsyncExitStack() as stack:
+        made = Site()
+        await made.start(stack)
+        for gateway in made.gateways:
+            await parts.until(
+                lambda g=gateway: len(made.open_groups(g)) >= 2 and g.peers.live
+            )
+        yield made
+
+
+async def test_streams_survive_a_lost_member_and_a_graceful_stop(site):
+    """The parts must work together, not only alone."""
+    one, two = site.gateways
+    assert await site.call(one, "/stream/a") == (200, STREAM)
+
+    # The head of a group that lost a member accepts but writes no further.
+    (used,) = (w for w in site.workers if w.executions)
+    used.executions.clear()
+    for worker in site.workers:
+        worker.hold_after = 1
+    begun = asyncio.Event()
+    call = asyncio.create_task(site.call(two, "/stream/a", begun))
+    await begun.wait()
+    (head,) = (w for w in site.workers if w.executions)
+    group = next(g for g in site.open_groups(two) if g["members"][0] == head.id)
+    (lost,) = (w for w in site.workers if w.id == group["members"][1])
+    await lost.close()
+    assert await call == (200, STREAM)
+    await parts.until(
+        lambda: "close" in [order["operation"] for order, _ in head.orders]
+    )
+    await parts.until(
+        lambda: group["name"] not in [g["name"] for g in site.open_groups(one)]
+    )
+    for worker in site.workers:
+        worker.hold_after = -1
+    assert await site.call(one, "/stream/a") == (200, STREAM)
+
+    for worker in site.workers:
+        worker.hold_after = 1
+    begun = asyncio.Event()
+    call = asyncio.create_task(site.call(two, "/stream/whole/a", begun))
+    await begun.wait()
+    stop = asyncio.create_task(two.stop_gracefully())
+    await parts.until(lambda: one.addresses() == [one.config.listeners.callers])
+    assert not two.ready() and not call.done()
+    for worker in site.workers:
+        worker.released.set()
+    assert await call == (200, STREAM)
+    await stop
+    with pytest.raises(aiohttp.ClientConnectorError):
+        await site.call(two, "/stream/a")
+    assert await site.call(one, "/stream/a") == (200, STREAM)
+
+
+async def test_a_caller_without_chunks_sees_a_broken_stream(site):
+    """The usual end of its connection would look like the stream's end."""
+    for worker in site.workers:
+        worker.faults["reset_in_event"] = 1
+    address = site.gateways[0].config.listeners.callers
+    reader, writer = await asyncio.open_connection(*settings.host_port(address))
+    writer.write(
+        b"GET /stream/whole/a HTTP/1.0\r\nHost: api\r\n"
+        + f"{names.REQUEST_ID}: r1\r\n{names.MODEL}: small\r\n\r\n".encode()
+    )
+    with pytest.raises(ConnectionResetError):
+        await reader.read()
+    writer.close()
