--- /dev/null
+++ b/tests/gateway/test_choice.py
@@ -0,0 +1,108 @@
+"""Tests of choosing a worker."""
+
+import pytest
+
+from oleanderbay.gateway import choice, interfaces
+from tests.gateway import parts
+
+MISSING = choice.Missing
+
+
+def two_groups():
+    known = parts.Known()
+    for name in ("g", "h"):
+        known.add(
+            parts.worker(f"{name}0", name, 0),
+            parts.worker(f"{name}1", name, 1, member="ready"),
+        )
+    return known
+
+
+def picks(known, service=parts.ENGINE, tried=(), **more):
+    """Returns who may be picked."""
+    found = {
+        known.choices.pick(service, "small", tried, **more) for _ in range(40)
+    }
+    return {w if isinstance(w, MISSING) else w.id for w in found}
+
+
+def test_requests_go_to_the_heads_of_open_groups():
+    """Only heads serve; equal groups share the requests."""
+    known = two_groups()
+    assert picks(known) == {"g0", "h0"}
+    assert picks(known, tried={"g0"}) == {"h0"}
+    assert picks(known, tried={"g0", "h0"}) == {MISSING.NONE}
+
+
+def evacuated(known):
+    known.state.configuration_changed(
+        interfaces.KeyedRecord(9, "zone/z2", b"1")
+    )
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda k: k.drop("g1"),
+        lambda k: k.drop("g0"),
+        lambda k: k.add(parts.worker("g0", "g", 0, member="ready")),
+        lambda k: k.add(parts.worker("g0", "g", 0, member="closing")),
+        lambda k: k.add(parts.worker("g1", "other", 1, member="ready")),
+        lambda k: k.add(parts.worker("g1", "g", 1, draining=True)),
+        lambda k: k.evidence.suspect("g0"),
+        lambda k: k.evidence.lost.update(g1=0),
+        lambda k: (k.add(parts.worker("g1", "g", 1, zone="z2")), evacuated(k)),
+    ],
+)
+def test_a_group_that_lacks_anything_gets_no_request(change):
+    """No request may begin in an incomplete, draining or lost group."""
+    known = two_groups()
+    change(known)
+    assert picks(known) == {"h0"}
+
+
+def test_the_emptier_group_is_chosen_until_all_are_full():
+    """Load of peers counts like the own."""
+    known = two_groups()
+    known.loads.started("g0")
+    assert picks(known) == {"h0"}
+    known.loads.told("p", {"h0": 5})
+    assert picks(known) == {"g0"}
+    known.loads.told("p", {"h0": 5, "g0": 4})
+    assert picks(known) == {MISSING.FULL}
+    assert picks(known, overfill=2.0) == {"g0", "h0"}
+    known.loads.keep(frozenset())
+    assert picks(known) == {"h0"}
+
+
+def test_the_own_zone_comes_first_on_equal_load():
+    """Bytes between zones cost."""
+    known = parts.Known()
+    known.add(
+        parts.worker("near", slots=4), parts.worker("far", slots=4, zone="z2")
+    )
+    assert picks(known, parts.PLAIN) == {"near"}
+    known.loads.told("p", {"near": 1})
+    assert picks(known, parts.PLAIN) == {"far"}
+
+
+def test_failures_never_exclude_all_workers():
+    """A service would end for failures that are the requests' fault."""
+    known = parts.Known()
+    known.add(parts.worker("a", slots=4), parts.worker("b", slots=4))
+    for _ in range(3):
+        known.evidence.failed("a")
+    assert picks(known, parts.PLAIN) == {"b"}
+    for _ in range(3):
+        known.evidence.failed("b")
+    assert picks(known, parts.PLAIN) == {"a", "b"}
+
+
+def test_a_cold_worker_gets_only_its_share():
+    """A look ahead must not use the share up."""
+    known = parts.Known()
+    known.add(parts.worker("a", slots=9, cold_ms=60_000))
+    for _ in range(5):
+        known.choices.peek(parts.PLAIN, "", ())
+    found = [known.choices.pick(parts.PLAIN, "", ()) for _ in range(3)]
+    assert found[2] is MISSING.FULL and found[1].id == "a"
--- /dev/null
+++ b/tests/gateway/test_duties.py
@@ -0,0 +1,74 @@
+"""Tests of the ownership of domains."""
+
+import asyncio
+
+from oleanderbay.gateway import duties
+from oleanderbay.process import clock as clocks
+from tests.gateway import parts
+
+
+def owner():
+    store, clock = parts.Store(), clocks.ManualClock()
+    return duties.Duties(store, clock, "g1", 1_500, 500), store, clock
+
+
+async def test_ownership_ends_with_the_time_to_live():
+    """The store gives the domain to another gateway from then on."""
+    made, store, clock = owner()
+    assert not made.owns("d")
+    task = asyncio.create_task(made.run())
+    await clock.advance(4_000)
+    assert made.owns("d")
+    store.down = True
+    await clock.advance(1_499)
+    assert made.owns("d")
+    await clock.advance(1)
+    assert not made.owns("d")
+    store.down = False
+    await clock.advance(500)
+    assert made.owns("d")
+    # A suspended process finds its ownership over when it wakes.
+    clock.set_ms(clock.now_ms() + 60_000)
+    assert not made.owns("d")
+    task.cancel()
+
+
+async def test_a_slow_answer_counts_from_the_call():
+    """The store counts from the arrival of the call, not of its answer."""
+    made, store, clock = owner()
+    answer = store.join
+
+    async def late(*arguments):
+        clock.set_ms(clock.now_ms() + 1_400)
+        return await answer(*arguments)
+
+    store.join = late
+    await made.confirm()
+    assert made.owns("d")
+    clock.set_ms(clock.now_ms() + 100)
+    assert not made.owns("d")
+
+
+async def test_a_refused_token_stops_orders_until_a_new_one():
+    """Another gateway owns the domain, whatever the store said here."""
+    made, store, _ = owner()
+    await made.confirm()
+    made.refused(1)
+    assert not made.owns("d")
+    await made.confirm()
+    assert not made.owns("d")
+    store.generation = 2
+    await made.confirm()
+    assert made.owns("d")
+    made.refused(1)
+    assert made.owns("d")
+
+
+async def test_a_leaving_gateway_owns_nothing():
+    """Its orders would cross those of the next owner."""
+    made, store, _ = owner()
+    await made.confirm()
+    await made.release()
+    assert store.calls == ["leave"]
+    await made.confirm()
+    assert not made.owns("d")
--- /dev/null
+++ b/tests/gateway/test_feed.py
@@ -0,0 +1,79 @@
+"""Tests of following a topic."""
+
+import asyncio
+
+from oleanderbay.gateway import feed, interfaces
+from oleanderbay.process import clock as clocks
+from tests.gateway import parts
+
+RECORD = interfaces.KeyedRecord
+
+
+def page(end, *records):
+    return interfaces.Page(tuple(RECORD(*r) for r in records), end)
+
+
+def followed(store, clock):
+    changes = []
+    made = feed.Feed(
+        store, interfaces.Topic.WORKERS, clock, changes.append, 1_000, 100
+    )
+    return made, changes
+
+
+async def test_lost_history_drops_missing_keys():
+    """A worker that left meanwhile would stay known for ever."""
+    store, clock = parts.Store(), clocks.ManualClock()
+    made, changes = followed(store, clock)
+    store.answers = [
+        page(3, (1, "a", b"1"), (2, "b", b"1")),
+        interfaces.HistoryGoneError("gone"),
+        page(9, (8, "b", b"2")),
+    ]
+    task = asyncio.create_task(made.run())
+    await clock.advance(1_000)
+    assert store.calls == ["newest", 3, "newest", 9]
+    assert changes[2:] == [RECORD(1, "a", None), RECORD(8, "b", b"2")]
+    assert made.offset == 9
+    task.cancel()
+
+
+async def test_reads_go_on_after_failures():
+    """A store that is down for a while must not end the following."""
+    store, clock = parts.Store(), clocks.ManualClock()
+    made, _ = followed(store, clock)
+    store.answers = [
+        interfaces.StoreError("down"),
+        interfaces.StoreRefusedError("busy"),
+        page(1, (0, "a", b"1")),
+    ]
+    task = asyncio.create_task(made.run())
+    await clock.advance(2 * feed.RETRY_MS - 1)
+    assert made.age_ms() > 1 << 20
+    await clock.advance(1)
+    assert made.latest["a"].value == b"1" and made.age_ms() == 0
+    task.cancel()
+
+
+def test_an_older_record_changes_nothing():
+    """A late answer would bring back a version or a worker that left."""
+    made, changes = followed(parts.Store(), clocks.ManualClock())
+    made.merge([RECORD(5, "a", b"new"), RECORD(6, "b", None)], 7)
+    made.merge([RECORD(4, "a", b"old"), RECORD(2, "b", b"old")], 5)
+    made.replace(page(4, (3, "b", b"old")))
+    assert made.latest["a"].value == b"new" and made.latest["b"].value is None
+    assert made.offset == 7 and len(changes) == 2
+
+
+async def test_records_from_a_peer_are_no_whole_topic():
+    """Keys that the peer did not send would never be read."""
+    store, clock = parts.Store(), clocks.ManualClock()
+    made, changes = followed(store, clock)
+    made.merge([RECORD(5, "a", b"1")], 6)
+    assert made.since(0) == (RECORD(5, "a", b"1"),)
+    store.answers = [page(6, (2, "b", b"1"), (5, "a", b"1"))]
+    task = asyncio.create_task(made.run())
+    await clock.advance(1)
+    assert [change.key for change in changes] == ["a", "b"]
+    assert made.since(3) == (RECORD(5, "a", b"1"),)
+    task.cancel()
