--- a/oleanderbay/gateway/keeper.py
+++ b/oleanderbay/gateway/keeper.py
@@ -216,7 +216,9 @@
         key = (group.name, group.epoch)
         model = engine.model(group.model)
         head = group.head
-        if key in self.forming or head is None or model is None:
+        if key in self.forming or key in self.closed:
+            return
+        if head is None or model is None:
             return
         assert head.membership is not None
         members = group.members.values()
@@ -233,7 +235,6 @@
             head.membership.state is not workers.MemberState.BROKEN
             and not lost
             and not leaving
-            and key not in self.closed
             and ("close", key) not in self._tasks
             and not any(w.id in self._busy for w in members)
         ):
@@ -383,6 +384,7 @@
             if report is interfaces.OrderResult.REFUSED:
                 break
         self.orphaned.add(key)
+        log.info("group orphaned", group=key[0])
 
     def _remember_heads(self, groups: Mapping[Key, workers.Group]) -> None:
         for key, group in groups.items():
@@ -567,6 +569,9 @@
                     worker, key, look
                 ):
                     ready.add(worker.id)
+            # A member may be lost while the others become ready.
+            for worker in members:
+                self._present(worker)
             if len(ready) == len(members):
                 break
             if self.clock.now_ms() >= give_up_ms:
@@ -579,14 +584,23 @@
         # Until the head's record says that it is open.
         await self.clock.sleep_ms(2 * self.config.store.worker_interval_ms)
 
-    async def _is_ready(
-        self, worker: workers.Worker, key: Key, look: bool
-    ) -> bool:
+    def _present(self, worker: workers.Worker) -> workers.Worker:
+        """Returns the newest record of a member.
+
+        Raises:
+            FormationError: The member is lost or leaves.
+        """
         known = self.known.workers.get(worker.id)
         if known is None or known.born_ms != worker.born_ms:
             raise FormationError(f"{worker.id} is gone")
         if self._is_lost(worker) or known.draining:
             raise FormationError(f"{worker.id} is lost or leaves")
+        return known
+
+    async def _is_ready(
+        self, worker: workers.Worker, key: Key, look: bool
+    ) -> bool:
+        known = self._present(worker)
         if _ready_in(known.membership, key):
             return True
         if not look:
