Do not reuse workers by records from before an outage

Change: the keeper plans only after the workers' feed has been steady for a heartbeat; before a formation each member is asked whether it is where its record says.

--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -120,6 +120,7 @@
         self.demand = demand.Demand(self.clock)
         self.keeper = keeper.Keeper(
             self.known,
+            self.feeds["workers"].steady_ms,
             self.evidence,
             self.duties,
             orders,
--- a/oleanderbay/gateway/feed.py
+++ b/oleanderbay/gateway/feed.py
@@ -10,6 +10,8 @@
 # Time between calls while the store gives no answer. Calls that the store
 # refuses are charged like others.
 RETRY_MS = 250
+# Time between two answers, beyond the interval, that counts as a gap.
+GAP_MS = 700
 
 log = structlog.get_logger()
 
@@ -24,6 +26,7 @@
         offset: Offset of the next record to come; -1 before the first answer.
         latest: Newest record by key; a dropped key is kept without a value.
         answered_ms: Monotonic time of the store's last answer; -1 for never.
+        steady_since_ms: Since when the store has answered without a gap.
     """
 
     def __init__(
@@ -44,6 +47,7 @@
         self.offset = -1
         self.latest: dict[str, interfaces.KeyedRecord] = {}
         self.answered_ms = -1
+        self.steady_since_ms = -1
         self._failing = False
 
     async def run(self) -> None:
@@ -119,7 +123,18 @@
                 self.changed(dropped)
         self.merge(page.records, page.end_offset)
 
+    def steady_ms(self) -> int:
+        """Returns for how long the store has answered without a gap."""
+        if self.answered_ms < 0 or self.age_ms() > self._gap_ms():
+            return 0
+        return self.clock.now_ms() - self.steady_since_ms
+
+    def _gap_ms(self) -> int:
+        return GAP_MS + self.wait_ms + self.interval_ms
+
     def _answered(self) -> None:
+        if self.answered_ms < 0 or self.age_ms() > self._gap_ms():
+            self.steady_since_ms = self.clock.now_ms()
         self.answered_ms = self.clock.now_ms()
         if self._failing:
             log.info("store answers again", topic=self.topic.value)
--- a/oleanderbay/gateway/keeper.py
+++ b/oleanderbay/gateway/keeper.py
@@ -25,6 +25,8 @@
 from oleanderbay.process import clock as clocks
 
 STEP_MS = 100
+# Added to a heartbeat before records count as current after a gap.
+SETTLE_MS = 300
 # Time between two looks at a member that should be ready or closed.
 LOOK_MS = 200
 REPORT_TIMEOUT_MS = 400
@@ -75,6 +77,7 @@
     def __init__(
         self,
         known: state.State,
+        steady_ms: Callable[[], int],
         evidence: health.Health,
         owner: duties.Duties,
         orders: interfaces.Orders,
@@ -86,6 +89,7 @@
         name: str,
     ) -> None:
         self.known = known
+        self.steady_ms = steady_ms
         self.evidence = evidence
         self.owner = owner
         self.orders = orders
@@ -123,9 +127,13 @@
     def step(self) -> None:
         """Reviews all owned domains once."""
         current = self.known.table
-        if current is None:
-            return
         self.needs.sample()
+        # After a gap the records may be older than the orders given since;
+        # each worker writes once in a heartbeat.
+        if current is None or self.steady_ms() < (
+            self.config.workers.heartbeat_ms + SETTLE_MS
+        ):
+            return
         for worker in tuple(self.known.absent.values()):
             # The owner of the domain forgets it after its peers have heard.
             if worker.id not in self.evidence.lost and self._is_lost(worker):
@@ -491,6 +499,7 @@
         members = [member.worker for member in formation.members]
         began_ms = self.clock.now_ms()
         try:
+            await self._verify(members)
             await self._release_heads(members)
             await self._join(key, formation.model, members)
             await self._finish(
@@ -512,6 +521,31 @@
             for worker in members:
                 self._busy.pop(worker.id, None)
 
+    async def _verify(self, members: list[workers.Worker]) -> None:
+        """Asks workers whether they are where their records say.
+
+        Raises:
+            FormationError: A record is older than what its worker says.
+        """
+        reports = await asyncio.gather(
+            *(self.orders.report(w, REPORT_TIMEOUT_MS) for w in members)
+        )
+        for worker, report in zip(members, reports, strict=True):
+            if not isinstance(report, interfaces.Report):
+                self.evidence.suspect(worker.id)
+                self._spawn(("again", worker.id), self._look_again(worker))
+                raise FormationError(f"{worker.id}: report {report.value}")
+            if report.born_ms not in (0, worker.born_ms) or _place(
+                report.membership
+            ) != _place(worker.membership):
+                raise FormationError(f"{worker.id}: the record is old")
+            if (
+                report.membership is not None
+                and report.membership.state in SERVING
+                and _place(report.membership) not in self.closed
+            ):
+                raise FormationError(f"{worker.id}: serves a group")
+
     async def _release_heads(self, members: list[workers.Worker]) -> None:
         """Takes heads of former groups out of them before anything else.
 
@@ -838,6 +872,12 @@
         task.add_done_callback(ended)
 
 
+def _place(membership: workers.Membership | None) -> Key | None:
+    if membership is None:
+        return None
+    return membership.group, membership.epoch
+
+
 def _serves(report: interfaces.Report, key: Key) -> bool:
     """Whether a head serves a group, by its report."""
     membership = report.membership
--- a/tests/gateway/test_keeper.py
+++ b/tests/gateway/test_keeper.py
@@ -34,10 +34,12 @@
         self.given = []
         self.results = {}
         self.actual = {}
+        self.steady_ms = 10_000
         self.store = parts.Store()
         self.owner = duties.Duties(self.store, self.clock, "g1", 1_500, 500)
         self.keeper = keeper.Keeper(
             self.known.state,
+            lambda: self.steady_ms,
             self.known.evidence,
             self.owner,
             self,
@@ -156,6 +158,28 @@
     assert world.orders("open") == [("open", "a")]
 
 
+async def test_no_worker_is_reused_by_an_old_record(world):
+    """Orders given while the store was down are not in the records yet."""
+    world.add("a")
+    world.add("b")
+    open_head = parts.worker("a", "g", 0, service="chat")
+    world.actual["a"] = open_head
+    await world.clock.advance(5_000)
+    assert not world.orders()
+
+
+async def test_nothing_is_planned_until_the_records_are_current(world):
+    """The first records after an outage may be older than the outage."""
+    world.steady_ms = 0
+    world.add("a")
+    world.add("b")
+    await world.clock.advance(5_000)
+    assert not world.orders()
+    world.steady_ms = 10_000
+    await world.clock.advance(2_000)
+    assert world.orders("join")
+
+
 @pytest.mark.parametrize("loss", ["restarts", "drains", "is_lost"])
 async def test_no_group_opens_after_a_ready_member_is_lost(world, loss):
     """A member that was ready may be gone before the last one is ready."""
