Check gateway settings with `oleanderbay check`

The command took every settings file for those of an entry, so a gateway's file was reported as one long list of unknown keys, and an address without a port was found only when the listener opened.

The sections that a file names decide which kind it is.

--- a/oleanderbay/cli/check.py
+++ b/oleanderbay/cli/check.py
@@ -1,13 +1,18 @@
 """The `check` command: checks a file without any network calls."""
 
 import argparse
+import dataclasses
 import json
 import pathlib
 import sys
+from collections.abc import Mapping
 from typing import Any
 
+import json5
+
 from oleanderbay.cli import codes, declared
-from oleanderbay.process import settings
+from oleanderbay.gateway import settings as gateway_settings
+from oleanderbay.process import settings as entry_settings
 
 
 def register(subparsers: Any) -> None:
@@ -15,9 +20,9 @@
     parser = subparsers.add_parser(
         "check",
         help="check settings or declarations",
-        description="Checks a settings file, or a file or directory of "
-        "declarations, and prints every mistake. Makes no network calls. "
-        "Exits 0 if there is none, 1 if there are some.",
+        description="Checks settings of an entry or of a gateway, or a file "
+        "or directory of declarations, and prints every mistake. Makes no "
+        "network calls. Exits 0 if there is none, 1 if there are some.",
         epilog="example: oleanderbay check examples/settings/entry.json5",
     )
     parser.add_argument("file", type=pathlib.Path, metavar="FILE")
@@ -29,9 +34,16 @@
     """Checks the file and returns the exit code."""
     if declared.is_declarations(args.file):
         return declared.check(args.file, args.output)
+    kind = _kind(args.file)
     try:
-        settings.load(args.file)
-    except settings.SettingsError as error:
+        if kind == "gateway":
+            gateway_settings.load(args.file)
+        else:
+            entry_settings.load(args.file)
+    except (
+        entry_settings.SettingsError,
+        gateway_settings.SettingsError,
+    ) as error:
         if args.output == "json":
             mistakes = [
                 {
@@ -50,5 +62,21 @@
     if args.output == "json":
         print(json.dumps({"valid": True, "mistakes": []}))
     else:
-        print(f"{args.file}: valid settings")
+        article = "a" if kind == "gateway" else "an"
+        print(f"{args.file}: valid settings of {article} {kind}")
     return codes.EXIT_OK
+
+
+def _kind(path: pathlib.Path) -> str:
+    """Tells the two kinds of settings apart by the sections they name."""
+    try:
+        tree = json5.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError, RecursionError):
+        return "entry"
+    if not isinstance(tree, Mapping):
+        return "entry"
+    gateway = {f.name for f in dataclasses.fields(gateway_settings.Settings)}
+    entry = {f.name for f in dataclasses.fields(entry_settings.Settings)}
+    only_gateway = len((gateway - entry) & tree.keys())
+    only_entry = len((entry - gateway) & tree.keys())
+    return "gateway" if only_gateway > only_entry else "entry"
--- a/oleanderbay/gateway/settings.py
+++ b/oleanderbay/gateway/settings.py
@@ -30,8 +30,15 @@
     high: float | None = None,
     choices: tuple[str, ...] = (),
     empty: bool = True,
+    address: bool = False,
 ) -> Any:
-    limits = {"low": low, "high": high, "choices": choices, "empty": empty}
+    limits = {
+        "low": low,
+        "high": high,
+        "choices": choices,
+        "empty": empty,
+        "address": address,
+    }
     return dataclasses.field(default=default, metadata=limits)
 
 
@@ -66,9 +73,9 @@
         directory_path: Path of the directory's answers.
     """
 
-    callers: str = _field(empty=False)
-    readiness: str = _field(empty=False)
-    directory: str = ""
+    callers: str = _field(empty=False, address=True)
+    readiness: str = _field(empty=False, address=True)
+    directory: str = _field("", address=True)
     directory_path: str = "/directory"
 
 
@@ -106,7 +113,7 @@
         join_interval_ms: Time between confirmations of ownership.
     """
 
-    address: str = _field(empty=False)
+    address: str = _field(empty=False, address=True)
     partitions: int = _field(1, low=1, high=10_000)
     timeout_ms: int = _ms(500)
     wait_ms: int = _ms(2_000, low=0)
--- a/oleanderbay/process/checker.py
+++ b/oleanderbay/process/checker.py
@@ -113,6 +113,10 @@
             self.wrong(path, found, "a string is allowed")
         elif not found and not limits.get("empty", True):
             self.wrong(path, found, "a non-empty string is allowed")
+        elif found and limits.get("address") and not _is_address(found):
+            self.wrong(
+                path, found, "host:port with a port from 0 to 65535 is allowed"
+            )
 
     def _number(
         self,
@@ -150,6 +154,15 @@
         return line
 
 
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    return (
+        bool(host)
+        and re.fullmatch(r"[0-9]{1,5}", port) is not None
+        and (int(port) <= 65_535)
+    )
+
+
 class _Shown(str):
     """Text about what was found, as opposed to the value itself."""
 
--- a/tests/cli/test_check.py
+++ b/tests/cli/test_check.py
@@ -1,13 +1,21 @@
 """Tests of `oleanderbay check`."""
 
 import json
+import pathlib
+
+import json5
+import pytest
 
 from oleanderbay.cli import main
+from oleanderbay.gateway import settings
+
+GATEWAY = pathlib.Path("examples/settings/gateway.json5")
 
 
 def test_valid_files_pass():
     """The examples are what operators copy."""
     assert main.main(["check", "examples/settings/entry.json5"]) == 0
+    assert main.main(["check", str(GATEWAY)]) == 0
     assert main.main(["check", "examples/declarations/cedar-shelf"]) == 0
 
 
@@ -25,6 +33,66 @@
     assert "line 2: entry.zome" in errors and "did you mean 'zone'" in errors
 
 
+def test_the_gateway_example_shows_every_setting_with_its_default():
+    """A setting without an example is found only in the source."""
+    shown = json5.loads(GATEWAY.read_text())
+    loaded = settings.load(GATEWAY)
+    for section, values in shown.items():
+        made = getattr(loaded, section)
+        assert set(values) == set(type(made).__dataclass_fields__)
+        for name, field in type(made).__dataclass_fields__.items():
+            if section in ("workers", "limits", "stop", "logging"):
+                assert getattr(made, name) == field.default
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "path", "found", "allowed"),
+    [
+        ("grace_ms:", "grace:", "stop.grace", "an unknown key", "'grace_ms'"),
+        ("limits: {", "limit: {", "limit", "an unknown key", "'limits'"),
+        ('id: "gateway-1",', "", "entry.id", "nothing", "value is required"),
+        ("port: 8093", "port: 0", "peers.port", "0", "from 1 to 65535"),
+        ('"info"', '"loud"', "logging.level", "'loud'", "'debug', 'info'"),
+        ("seeds: []", "seeds: 1", "peers.seeds", "1", "a list is allowed"),
+        (
+            "127.0.0.1:9003",
+            "http://store",
+            "store.address",
+            "'http://store'",
+            "host:port",
+        ),
+    ],
+)
+def test_each_mistake_in_gateway_settings_is_one_line(
+    tmp_path, capsys, old, new, path, found, allowed
+):
+    """A gateway's mistakes were checked against an entry's settings."""
+    text = GATEWAY.read_text()
+    assert text.count(old) == 1
+    file = tmp_path / "gateway.json5"
+    file.write_text(text.replace(old, new))
+    assert main.main(["check", str(file)]) == 1
+    (line,) = capsys.readouterr().err.splitlines()
+    assert f" {path}: found {found}; " in line and allowed in line
+
+
+def test_all_mistakes_of_gateway_settings_are_found_at_once(tmp_path, capsys):
+    """Operators would otherwise need one run for each mistake."""
+    file = tmp_path / "gateway.json5"
+    file.write_text('{entry: {id: ""}, listeners: {callers: "x"}, store: {}}')
+    assert main.main(["check", str(file), "--output", "json"]) == 1
+    answer = json.loads(capsys.readouterr().out)
+    assert {mistake["path"] for mistake in answer["mistakes"]} == {
+        "entry.id",
+        "entry.zone",
+        "entry.host",
+        "listeners.callers",
+        "listeners.readiness",
+        "peers",
+        "store.address",
+    }
+
+
 def test_serve_refuses_invalid_settings_as_wrong_usage(tmp_path, capsys):
     """An entry must not start with half of its settings."""
     file = tmp_path / "entry.json5"
