--- a/oleanderbay/process/checker.py
+++ b/oleanderbay/process/checker.py
@@ -102,6 +102,18 @@
             self._number(kind, limits, found, path)
         return found
 
+    def receiver(self, telemetry: Any) -> None:
+        """Checks that an OTLP exporter has a receiver."""
+        if (
+            "otlp" in (telemetry.metrics, telemetry.traces)
+            and not telemetry.otlp_endpoint
+        ):
+            self.wrong(
+                ("telemetry", "otlp_endpoint"),
+                telemetry.otlp_endpoint,
+                "an address is required by the otlp exporter",
+            )
+
     def _string(
         self, limits: Mapping[str, Any], found: Any, path: tuple[str, ...]
     ) -> None:
--- a/oleanderbay/process/settings.py
+++ b/oleanderbay/process/settings.py
@@ -306,16 +306,7 @@
 
 def _relations(settings: Settings, check_run: checker.Checker) -> None:
     """Checks what no single value shows."""
-    telemetry = settings.telemetry
-    if (
-        "otlp" in (telemetry.metrics, telemetry.traces)
-        and not telemetry.otlp_endpoint
-    ):
-        check_run.wrong(
-            ("telemetry", "otlp_endpoint"),
-            telemetry.otlp_endpoint,
-            "an address is required by the otlp exporter",
-        )
+    check_run.receiver(settings.telemetry)
     ports: dict[tuple[str, int], str] = {}
     for name in ("callers", "peers", "operators", "admin"):
         listener = getattr(settings, name)
