Add metrics and traces of a gateway

A gateway showed only /status and logs, which tell neither rates nor where a request spent its time.

oleanderbay/gateway/telemetry.py counts requests, attempts, refusals, orders, loads, group changes and reads of the store, and makes one span per hop. The new section `telemetry` of the settings chooses exporters; without one, only the OpenTelemetry API is imported. A flush at the end is limited to 300 ms.

--- a/oleanderbay/gateway/settings.py
+++ b/oleanderbay/gateway/settings.py
@@ -175,6 +175,24 @@
     kept_factor: int = _field(3, low=1, high=10)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TelemetrySettings:
+    """Metrics and traces; each exporter costs memory.
+
+    Attributes:
+        metrics: Exporter of metrics; `prometheus` is `/metrics` of the
+            readiness listener.
+        traces: Exporter of traces.
+        otlp_endpoint: Base address of the OTLP receiver over HTTP.
+        interval_ms: How often metrics are pushed by OTLP.
+    """
+
+    metrics: str = _field("none", choices=("none", "prometheus", "otlp"))
+    traces: str = _field("none", choices=("none", "otlp"))
+    otlp_endpoint: str = ""
+    interval_ms: int = _ms(10_000)
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LoggingSettings:
     """Logs on standard error.
@@ -199,6 +217,7 @@
     workers: WorkerSettings = WorkerSettings()
     limits: LimitSettings = LimitSettings()
     stop: StopSettings = StopSettings()
+    telemetry: TelemetrySettings = TelemetrySettings()
     logging: LoggingSettings = LoggingSettings()
 
 
@@ -232,6 +251,8 @@
         ) from error
     check_run = checker.Checker(text)
     checked = check_run.section(Settings, tree, ())
+    if checked is not None:
+        check_run.receiver(checked.telemetry)
     if check_run.mistakes:
         raise SettingsError(tuple(check_run.mistakes))
     assert isinstance(checked, Settings)
--- /dev/null
+++ b/oleanderbay/gateway/telemetry.py
@@ -0,0 +1,512 @@
+"""Metrics and traces of one gateway."""
+
+import asyncio
+import contextlib
+import dataclasses
+import threading
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Iterable,
+    Mapping,
+    MutableMapping,
+    Sequence,
+)
+from types import TracebackType
+from typing import TYPE_CHECKING, Any, Self, TypeVar
+
+from opentelemetry import metrics, trace
+
+from oleanderbay.gateway import interfaces, settings, workers
+from oleanderbay.process import instruments as instruments_module
+from oleanderbay.process import spans
+from oleanderbay.request import outcome
+
+if TYPE_CHECKING:
+    from oleanderbay.process import exporters
+
+# The last part of a planned stop, in which the exporters may flush.
+CLOSE_MS = 300
+# Label of requests that were refused before their service was known.
+NO_SERVICE = "none"
+
+_NO_SPAN = contextlib.nullcontext()
+
+_Result = TypeVar(
+    "_Result",
+    interfaces.OrderResult,
+    interfaces.Report | interfaces.OrderResult,
+)
+
+
+class TelemetryError(Exception):
+    """The exporters can't be loaded."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Instruments(instruments_module.RequestCounters):
+    """The metrics of a gateway.
+
+    Attributes:
+        refusals: Answers of the gateway itself, by reason and status.
+        first_event: Time from arrival to a stream's first event in ms.
+        orders: Orders and reports, by operation and result.
+        loads: Loads of models that were begun.
+        group_changes: Groups by change: formed, closed or converted.
+        store_reads: Reads of the store, by topic and result.
+        store_failures: Calls without a usable answer, by operation.
+        peer_reads: Reads of records from peers, by topic and result.
+    """
+
+    refusals: metrics.Counter
+    first_event: metrics.Histogram
+    orders: metrics.Counter
+    loads: metrics.Counter
+    group_changes: metrics.Counter
+    store_reads: metrics.Counter
+    store_failures: metrics.Counter
+    peer_reads: metrics.Counter
+
+
+class Telemetry:
+    """Owns the exporters, the instruments and the tracer of one gateway.
+
+    Without an exporter all instruments do nothing, no span is made and
+    headers are passed on unchanged.
+
+    Attributes:
+        instruments: The metrics.
+    """
+
+    def __init__(
+        self, config: settings.TelemetrySettings, gateway_id: str
+    ) -> None:
+        """Loads what the settings ask for.
+
+        Raises:
+            TelemetryError: A package that an exporter needs is missing.
+        """
+        self._config = config
+        self._exporters: exporters.Exporters | None = None
+        if config.metrics != "none" or config.traces != "none":
+            self._exporters = _load(config, gateway_id)
+        self._meter: metrics.Meter = (
+            self._exporters.meter
+            if self._exporters is not None
+            else metrics.NoOpMeterProvider().get_meter("oleanderbay")
+        )
+        self._tracer: trace.Tracer | None = None
+        if self._exporters is not None and config.traces != "none":
+            self._tracer = self._exporters.tracer
+        self.instruments = _instruments(self._meter)
+
+    def exposition(self) -> bytes | None:
+        """Returns the metrics for Prometheus; None if it was not chosen."""
+        if self._exporters is None or self._config.metrics != "prometheus":
+            return None
+        return self._exporters.exposition()
+
+    def gauge(
+        self, name: str, description: str, read: Callable[[], int | None]
+    ) -> None:
+        """Shows a value that is read for each export; None is left out."""
+
+        def observe(
+            options: metrics.CallbackOptions,
+        ) -> Iterable[metrics.Observation]:
+            value = read()
+            return () if value is None else (metrics.Observation(value),)
+
+        self._meter.create_observable_gauge(
+            f"oleanderbay.{name}", [observe], description=description
+        )
+
+    def request(self, call: interfaces.Call) -> "Request":
+        """Observes one request of a caller."""
+        return Request(self, call)
+
+    def attempt(self, service: str, worker_id: str) -> "Attempt":
+        """Observes one attempt at a worker."""
+        return Attempt(self, service, worker_id)
+
+    def inject(self, headers: MutableMapping[str, str]) -> None:
+        """Makes the current span the parent of the worker's spans."""
+        if self._tracer is not None:
+            spans.inject(headers)
+
+    def refused(self, refusal: outcome.Refusal) -> None:
+        """Counts an answer of the gateway itself."""
+        self.instruments.refusals.add(
+            1, {"reason": refusal.reason.value, "status": refusal.status}
+        )
+
+    async def records(
+        self, topic: str, peer_id: str, fetch: Awaitable[bool]
+    ) -> None:
+        """Observes a read of records from a peer.
+
+        Args:
+            topic: Name of the feed.
+            peer_id: The peer.
+            fetch: Reads them and returns whether that succeeded.
+        """
+        with self.span(
+            "records", trace.SpanKind.CLIENT, {"topic": topic, "peer": peer_id}
+        ):
+            result = "ok" if await fetch else "failed"
+            self.tell({"result": result})
+        self.instruments.peer_reads.add(1, {"topic": topic, "result": result})
+
+    def orders(self, orders: interfaces.Orders) -> interfaces.Orders:
+        """Returns the orders, observed if there is an exporter."""
+        return orders if self._exporters is None else _Orders(self, orders)
+
+    def store(self, store: interfaces.Store) -> interfaces.Store:
+        """Returns the store, observed if there is an exporter."""
+        return store if self._exporters is None else _Store(self, store)
+
+    def span(
+        self,
+        name: str,
+        kind: trace.SpanKind,
+        attributes: Mapping[str, Any],
+        carrier: Mapping[str, str] | None = None,
+    ) -> contextlib.AbstractContextManager[Any]:
+        """Runs a span if there is an exporter for it."""
+        if self._tracer is None:
+            return _NO_SPAN
+        return spans.hop(self._tracer, name, kind, carrier, attributes)
+
+    def tell(self, attributes: Mapping[str, str]) -> None:
+        """Adds attributes to the current span."""
+        if self._tracer is not None:
+            trace.get_current_span().set_attributes(attributes)
+
+    async def close(self) -> None:
+        """Flushes and stops the exporters within a short time.
+
+        A receiver that is down must not keep the process beyond its grace
+        period, so the flush runs in a thread that ends with the process.
+        """
+        if self._exporters is None:
+            return
+        ended = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        stop = self._exporters.close
+
+        def flush() -> None:
+            try:
+                stop()
+            finally:
+                with contextlib.suppress(RuntimeError):
+                    loop.call_soon_threadsafe(ended.set)
+
+        threading.Thread(target=flush, daemon=True).start()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_MS / 1000):
+                await ended.wait()
+
+
+class Request:
+    """Observes one request of a caller.
+
+    Attributes:
+        service: Name of its service once that is known.
+        refusal: Why there is no answer; None if there is one.
+    """
+
+    __slots__ = ("_call", "_span", "_telemetry", "refusal", "service")
+
+    def __init__(self, telemetry: Telemetry, call: interfaces.Call) -> None:
+        self._telemetry = telemetry
+        self._call = call
+        self.service = NO_SERVICE
+        self.refusal: outcome.Refusal | None = None
+
+    def __enter__(self) -> Self:
+        call = self._call
+        self._span = self._telemetry.span(
+            "request",
+            trace.SpanKind.SERVER,
+            {"request_id": call.id, "model": call.model},
+            call.headers,
+        )
+        self._span.__enter__()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        known, reason = outcome.Outcome.ANSWERED.value, ""
+        if kind is not None:
+            # The listener ends the task when the caller disconnects.
+            known = outcome.Outcome.UNKNOWN.value
+            left = issubclass(kind, (asyncio.CancelledError, ConnectionError))
+            reason = outcome.Reason.CANCELLED.value if left else "fault"
+        elif self.refusal is not None:
+            known = self.refusal.outcome.value
+            reason = self.refusal.reason.value
+        labels = {"service": self.service, "outcome": known, "reason": reason}
+        self._telemetry.instruments.requests.add(1, labels)
+        self._telemetry.tell(labels)
+        self._span.__exit__(kind, error, traceback)
+
+    def first_event(self, took_ms: int) -> None:
+        """Notes the time from the arrival to the first event."""
+        self._telemetry.instruments.first_event.record(
+            took_ms, {"service": self.service}
+        )
+
+
+class Attempt:
+    """Observes one attempt at a worker.
+
+    Attributes:
+        result: How it ended.
+    """
+
+    __slots__ = ("_service", "_span", "_telemetry", "_worker_id", "result")
+
+    def __init__(
+        self, telemetry: Telemetry, service: str, worker_id: str
+    ) -> None:
+        self._telemetry = telemetry
+        self._service = service
+        self._worker_id = worker_id
+        self.result = "cancelled"
+
+    def __enter__(self) -> Self:
+        self._span = self._telemetry.span(
+            "attempt",
+            trace.SpanKind.CLIENT,
+            {"service": self._service, "worker": self._worker_id},
+        )
+        self._span.__enter__()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._telemetry.instruments.attempts.add(
+            1, {"service": self._service, "result": self.result}
+        )
+        self._telemetry.tell({"result": self.result})
+        self._span.__exit__(kind, error, traceback)
+
+    def ended(self, answered: bool, ran: bool, arrived: bool) -> None:
+        """Notes how the attempt ended.
+
+        Args:
+            answered: Whether the caller got its answer.
+            ran: Whether the request may have run at the worker.
+            arrived: Whether it may have arrived there.
+        """
+        if answered:
+            self.result = "answered"
+        elif ran:
+            self.result = "failed"
+        else:
+            self.result = "refused" if arrived else "not_connected"
+
+
+class _Orders:
+    """Orders to workers, with a span and a count for each."""
+
+    def __init__(self, telemetry: Telemetry, inner: interfaces.Orders) -> None:
+        self.telemetry = telemetry
+        self.inner = inner
+
+    async def join(
+        self,
+        worker: workers.Worker,
+        fence: int,
+        group: str,
+        epoch: int,
+        model: str,
+        members: Sequence[str],
+    ) -> interfaces.OrderResult:
+        return await self._observed(
+            "join",
+            worker,
+            self.inner.join(worker, fence, group, epoch, model, members),
+        )
+
+    async def open(
+        self, worker: workers.Worker, fence: int, group: str, epoch: int
+    ) -> interfaces.OrderResult:
+        return await self._observed(
+            "open", worker, self.inner.open(worker, fence, group, epoch)
+        )
+
+    async def close_group(
+        self,
+        worker: workers.Worker,
+        fence: int,
+        group: str,
+        epoch: int,
+        abrupt: bool,
+    ) -> interfaces.OrderResult:
+        return await self._observed(
+            "close",
+            worker,
+            self.inner.close_group(worker, fence, group, epoch, abrupt),
+        )
+
+    async def leave(
+        self, worker: workers.Worker, fence: int, group: str, epoch: int
+    ) -> interfaces.OrderResult:
+        return await self._observed(
+            "leave", worker, self.inner.leave(worker, fence, group, epoch)
+        )
+
+    async def stage(
+        self, worker: workers.Worker, fence: int, model: str
+    ) -> interfaces.OrderResult:
+        return await self._observed(
+            "stage", worker, self.inner.stage(worker, fence, model)
+        )
+
+    async def report(
+        self, worker: workers.Worker, timeout_ms: int
+    ) -> interfaces.Report | interfaces.OrderResult:
+        return await self._observed(
+            "report", worker, self.inner.report(worker, timeout_ms)
+        )
+
+    async def _observed(
+        self, operation: str, worker: workers.Worker, given: Awaitable[_Result]
+    ) -> _Result:
+        with self.telemetry.span(
+            "order",
+            trace.SpanKind.CLIENT,
+            {"operation": operation, "worker": worker.id},
+        ):
+            found = await given
+            result = (
+                "done" if isinstance(found, interfaces.Report) else found.value
+            )
+            self.telemetry.tell({"result": result})
+        self.telemetry.instruments.orders.add(
+            1, {"operation": operation, "result": result}
+        )
+        return found
+
+
+class _Store:
+    """The shared store, with counts of reads and failures."""
+
+    def __init__(self, telemetry: Telemetry, inner: interfaces.Store) -> None:
+        self.telemetry = telemetry
+        self.inner = inner
+
+    @property
+    def partitions(self) -> int:
+        return self.inner.partitions
+
+    async def newest(self, topic: interfaces.Topic) -> interfaces.Page:
+        return await self._read("newest", topic, self.inner.newest(topic))
+
+    async def read(
+        self, topic: interfaces.Topic, start: int, wait_ms: int
+    ) -> interfaces.Page:
+        return await self._read(
+            "read", topic, self.inner.read(topic, start, wait_ms)
+        )
+
+    async def put(
+        self, topic: interfaces.Topic, key: str, value: bytes | None
+    ) -> None:
+        with self._failures("put"):
+            await self.inner.put(topic, key, value)
+
+    async def join(
+        self, member: str, ttl_ms: int, generation: int
+    ) -> interfaces.Ownership:
+        with self._failures("join"):
+            return await self.inner.join(member, ttl_ms, generation)
+
+    async def leave(self, member: str) -> None:
+        with self._failures("leave"):
+            await self.inner.leave(member)
+
+    async def _read(
+        self,
+        operation: str,
+        topic: interfaces.Topic,
+        given: Awaitable[interfaces.Page],
+    ) -> interfaces.Page:
+        result = "failed"
+        try:
+            with self._failures(operation):
+                page = await given
+            result = "ok"
+            return page
+        except interfaces.HistoryGoneError:
+            result = "history_gone"
+            raise
+        finally:
+            self.telemetry.instruments.store_reads.add(
+                1, {"topic": topic.value, "result": result}
+            )
+
+    @contextlib.contextmanager
+    def _failures(self, operation: str) -> Any:
+        try:
+            yield
+        except interfaces.HistoryGoneError:
+            raise
+        except interfaces.StoreError:
+            self.telemetry.instruments.store_failures.add(
+                1, {"operation": operation}
+            )
+            raise
+
+
+def _load(
+    config: settings.TelemetrySettings, gateway_id: str
+) -> "exporters.Exporters":
+    try:
+        # Imported here because the SDK costs memory on every instance.
+        from oleanderbay.process import exporters
+
+        return exporters.Exporters(config, gateway_id)
+    except ImportError as error:
+        raise TelemetryError(
+            f"the exporter of metrics or traces needs the package "
+            f"{error.name}, which is not installed"
+        ) from error
+
+
+def _instruments(meter: metrics.Meter) -> Instruments:
+    def counter(name: str, description: str) -> metrics.Counter:
+        return meter.create_counter(
+            f"oleanderbay.{name}", description=description
+        )
+
+    return Instruments(
+        **instruments_module.request_counters(meter),
+        refusals=counter("refusals", "Answers of the gateway itself."),
+        first_event=meter.create_histogram(
+            "oleanderbay.first_event", "ms", "Time to the first event."
+        ),
+        orders=counter("orders", "Orders to workers."),
+        loads=counter("loads", "Loads of models that were begun."),
+        group_changes=counter(
+            "group_changes", "Groups formed, closed or converted."
+        ),
+        store_reads=counter("store_reads", "Reads of the store."),
+        store_failures=counter(
+            "store_failures", "Calls of the store without a usable answer."
+        ),
+        peer_reads=counter("peer_reads", "Reads of records from peers."),
+    )
+
+
+# For parts that are used without a gateway.
+OFF = Telemetry(settings.TelemetrySettings(), "")
--- a/tests/cli/test_check.py
+++ b/tests/cli/test_check.py
@@ -41,7 +41,7 @@
         made = getattr(loaded, section)
         assert set(values) == set(type(made).__dataclass_fields__)
         for name, field in type(made).__dataclass_fields__.items():
-            if section in ("workers", "limits", "stop", "logging"):
+            if section not in ("entry", "listeners", "peers", "store"):
                 assert getattr(made, name) == field.default
 
 
@@ -53,6 +53,13 @@
         ('id: "gateway-1",', "", "entry.id", "nothing", "value is required"),
         ("port: 8093", "port: 0", "peers.port", "0", "from 1 to 65535"),
         ('"info"', '"loud"', "logging.level", "'loud'", "'debug', 'info'"),
+        (
+            'traces: "none"',
+            'traces: "otlp"',
+            "telemetry.otlp_endpoint",
+            "''",
+            "an address is required",
+        ),
         ("seeds: []", "seeds: 1", "peers.seeds", "1", "a list is allowed"),
         (
             "127.0.0.1:9003",
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the gateway."""
