Show the state of gateways with `oleanderbay gateways`

To see which gateway lags or which groups are open, operators had to read the JSON of each readiness listener and merge it by hand.

--- a/oleanderbay/cli/main.py
+++ b/oleanderbay/cli/main.py
@@ -28,6 +28,7 @@
 FAMILIES: dict[str, frozenset[str]] = {
     "serve": frozenset({"serve"}),
     "gateway": frozenset({"gateway"}),
+    "gateways": frozenset({"gateways"}),
     "check": frozenset({"check"}),
     "standins": frozenset({"standin"}),
     "demo": frozenset({"demo"}),
--- a/oleanderbay/process/checker.py
+++ b/oleanderbay/process/checker.py
@@ -125,7 +125,7 @@
             self.wrong(path, found, "a string is allowed")
         elif not found and not limits.get("empty", True):
             self.wrong(path, found, "a non-empty string is allowed")
-        elif found and limits.get("address") and not _is_address(found):
+        elif found and limits.get("address") and not is_address(found):
             self.wrong(
                 path, found, "host:port with a port from 0 to 65535 is allowed"
             )
@@ -166,7 +166,8 @@
         return line
 
 
-def _is_address(text: str) -> bool:
+def is_address(text: str) -> bool:
+    """Whether a text is `host:port`."""
     host, _, port = text.rpartition(":")
     return (
         bool(host)
