--- a/oleanderbay/gateway/demand.py
+++ b/oleanderbay/gateway/demand.py
@@ -4,7 +4,7 @@
 import math
 from collections.abc import Mapping
 
-from oleanderbay.gateway import planner, table
+from oleanderbay.gateway import affinity, planner, table
 from oleanderbay.process import clock as clocks
 
 # Time constant of the mean; short enough to follow a wave of traffic, long
@@ -92,7 +92,7 @@
         if not self.begun or total <= 0:
             return {
                 m.name: planner.Need(
-                    planner.slots_share(m), local_capacity.get(m.name, 0.0)
+                    affinity.slots_share(m), local_capacity.get(m.name, 0.0)
                 )
                 for m in models
             }
