Say that no worker is lost or suspected

`oleanderbay gateways` printed "no workers" for an empty third table, which reads as if the fleet were empty.

Each table has its own text for no rows. tests/cli/test_gateways.py passes.

--- a/oleanderbay/cli/gateways.py
+++ b/oleanderbay/cli/gateways.py
@@ -184,6 +184,7 @@
     troubled: Sequence[Mapping[str, Any]],
 ) -> None:
     _print_table(
+        "no gateway answered",
         (
             "gateway",
             "address",
@@ -207,6 +208,7 @@
         ],
     )
     _print_table(
+        "no groups",
         ("group", "model", "open", "members", "in flight"),
         [
             (
@@ -220,6 +222,7 @@
         ],
     )
     _print_table(
+        "no lost or suspected workers",
         ("worker", "state", "according to"),
         [
             (one["worker"], one["state"], ", ".join(one["gateways"]))
@@ -240,11 +243,11 @@
 
 
 def _print_table(
-    heads: tuple[str, ...], rows: Sequence[tuple[Any, ...]]
+    empty: str, heads: tuple[str, ...], rows: Sequence[tuple[Any, ...]]
 ) -> None:
     """Prints rows in columns that fit, or that there are none."""
     if not rows:
-        print(f"no {heads[0]}s\n")
+        print(f"{empty}\n")
         return
     texts = [heads, *(tuple(map(str, row)) for row in rows)]
     widths = [max(map(len, column)) for column in zip(*texts, strict=True)]
