Add gauges and short calls for the gateway's parts

Each part would have needed several lines to report a resumed stream, a first event, a group or the result of an attempt.

Telemetry has one call for each, an attempt takes the pipeline's own result, and the gauges are made in one place. tests/gateway/test_telemetry.py passes.

--- a/oleanderbay/gateway/telemetry.py
+++ b/oleanderbay/gateway/telemetry.py
@@ -3,21 +3,23 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import threading
 from collections.abc import (
     Awaitable,
     Callable,
+    Collection,
     Iterable,
     Mapping,
     MutableMapping,
     Sequence,
 )
 from types import TracebackType
-from typing import TYPE_CHECKING, Any, Self, TypeVar
+from typing import TYPE_CHECKING, Any, Protocol, Self, TypeVar
 
 from opentelemetry import metrics, trace
 
-from oleanderbay.gateway import interfaces, settings, workers
+from oleanderbay.gateway import feed, interfaces, settings, state, workers
 from oleanderbay.process import instruments as instruments_module
 from oleanderbay.process import spans
 from oleanderbay.request import outcome
@@ -68,6 +70,21 @@
     peer_reads: metrics.Counter
 
 
+class Failed(Protocol):
+    """An attempt that did not end the request.
+
+    Attributes:
+        ran: Whether the request may have run at the worker.
+        arrived: Whether it may have arrived there.
+    """
+
+    @property
+    def ran(self) -> bool: ...  # noqa: D102
+
+    @property
+    def arrived(self) -> bool: ...  # noqa: D102
+
+
 class Telemetry:
     """Owns the exporters, the instruments and the tracer of one gateway.
 
@@ -107,7 +124,11 @@
         return self._exporters.exposition()
 
     def gauge(
-        self, name: str, description: str, read: Callable[[], int | None]
+        self,
+        name: str,
+        unit: str,
+        description: str,
+        read: Callable[[], int | None],
     ) -> None:
         """Shows a value that is read for each export; None is left out."""
 
@@ -118,7 +139,35 @@
             return () if value is None else (metrics.Observation(value),)
 
         self._meter.create_observable_gauge(
-            f"oleanderbay.{name}", [observe], description=description
+            f"oleanderbay.{name}", [observe], unit, description
+        )
+
+    def watch(
+        self,
+        known: state.State,
+        feeds: Mapping[str, feed.Feed],
+        peers: Collection[object],
+    ) -> None:
+        """Shows the version in force, its age and the live peers."""
+
+        def version() -> int | None:
+            return known.table.version if known.table is not None else None
+
+        def age(followed: feed.Feed) -> int | None:
+            return followed.age_ms() if followed.answered_ms >= 0 else None
+
+        self.gauge(
+            "configuration_version", "", "Configuration in force.", version
+        )
+        for name, followed in feeds.items():
+            self.gauge(
+                f"{name}_age",
+                "ms",
+                f"Time since the store's last answer about {name}.",
+                functools.partial(age, followed),
+            )
+        self.gauge(
+            "peers_live", "", "Peers heard from lately.", lambda: len(peers)
         )
 
     def request(self, call: interfaces.Call) -> "Request":
@@ -134,6 +183,18 @@
         if self._tracer is not None:
             spans.inject(headers)
 
+    def resumed(self, service: str) -> None:
+        """Counts a stream that continues at another worker."""
+        self.instruments.resumed.add(1, {"service": service})
+
+    def first_event(self, service: str, took_ms: int) -> None:
+        """Notes the time from a request's arrival to its first event."""
+        self.instruments.first_event.record(took_ms, {"service": service})
+
+    def group_changed(self, change: str) -> None:
+        """Counts a group that was formed, closed or converted."""
+        self.instruments.group_changes.add(1, {"change": change})
+
     def refused(self, refusal: outcome.Refusal) -> None:
         """Counts an answer of the gateway itself."""
         self.instruments.refusals.add(
@@ -254,12 +315,6 @@
         self._telemetry.tell(labels)
         self._span.__exit__(kind, error, traceback)
 
-    def first_event(self, took_ms: int) -> None:
-        """Notes the time from the arrival to the first event."""
-        self._telemetry.instruments.first_event.record(
-            took_ms, {"service": self.service}
-        )
-
 
 class Attempt:
     """Observes one attempt at a worker.
@@ -299,20 +354,14 @@
         self._telemetry.tell({"result": self.result})
         self._span.__exit__(kind, error, traceback)
 
-    def ended(self, answered: bool, ran: bool, arrived: bool) -> None:
-        """Notes how the attempt ended.
-
-        Args:
-            answered: Whether the caller got its answer.
-            ran: Whether the request may have run at the worker.
-            arrived: Whether it may have arrived there.
-        """
-        if answered:
+    def ended(self, failed: Failed | None) -> None:
+        """Notes how the attempt ended; None means with an answer."""
+        if failed is None:
             self.result = "answered"
-        elif ran:
+        elif failed.ran:
             self.result = "failed"
         else:
-            self.result = "refused" if arrived else "not_connected"
+            self.result = "refused" if failed.arrived else "not_connected"
 
 
 class _Orders:
