--- a/oleanderbay/process/checker.py
+++ b/oleanderbay/process/checker.py
@@ -102,6 +102,18 @@
             self._number(kind, limits, found, path)
         return found
 
+    def receiver(self, telemetry: Any) -> None:
+        """Checks that an OTLP exporter has a receiver."""
+        if (
+            "otlp" in (telemetry.metrics, telemetry.traces)
+            and not telemetry.otlp_endpoint
+        ):
+            self.wrong(
+                ("telemetry", "otlp_endpoint"),
+                telemetry.otlp_endpoint,
+                "an address is required by the otlp exporter",
+            )
+
     def _string(
         self, limits: Mapping[str, Any], found: Any, path: tuple[str, ...]
     ) -> None:
@@ -113,6 +125,10 @@
             self.wrong(path, found, "a string is allowed")
         elif not found and not limits.get("empty", True):
             self.wrong(path, found, "a non-empty string is allowed")
+        elif found and limits.get("address") and not is_address(found):
+            self.wrong(
+                path, found, "host:port with a port from 0 to 65535 is allowed"
+            )
 
     def _number(
         self,
@@ -150,6 +166,16 @@
         return line
 
 
+def is_address(text: str) -> bool:
+    """Whether a text is `host:port`."""
+    host, _, port = text.rpartition(":")
+    return (
+        bool(host)
+        and re.fullmatch(r"[0-9]{1,5}", port) is not None
+        and (int(port) <= 65_535)
+    )
+
+
 class _Shown(str):
     """Text about what was found, as opposed to the value itself."""
 
--- /dev/null
+++ b/tests/gateway/test_telemetry.py
@@ -0,0 +1,267 @@
+"""Tests of metrics and traces of one gateway."""
+
+import asyncio
+import subprocess
+import sys
+from types import SimpleNamespace
+from unittest import mock
+
+import multidict
+import pytest
+from opentelemetry.sdk import trace as sdk_trace
+from opentelemetry.sdk.trace import export
+from opentelemetry.sdk.trace.export import in_memory_span_exporter
+
+from oleanderbay.gateway import (
+    health,
+    interfaces,
+    pipeline,
+    sending,
+    settings,
+    table,
+    telemetry,
+    workers,
+)
+from oleanderbay.process import clock as clocks
+from oleanderbay.request import outcome
+
+PARENT = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+HEADERS = multidict.CIMultiDict({"traceparent": PARENT})
+CALL = interfaces.Call(
+    id="r1", method="GET", host="h", target="/", headers=HEADERS
+)
+WORKER = workers.Worker(id="w1", service="s", address="", zone="z")
+ROUTE = table.Route(
+    name="r",
+    host="h",
+    path_prefix="/",
+    kind=table.Kind.STREAM,
+    timeout_ms=5_000,
+    target_ms=800,
+    split=(("chat", 1.0),),
+    max_attempts=2,
+    resumable=True,
+)
+
+
+@pytest.fixture
+def made():
+    return telemetry.Telemetry(
+        settings.TelemetrySettings(metrics="prometheus"), "g"
+    )
+
+
+def _value(made, name, **labels):
+    """Returns the value of the sample that has these labels."""
+    wanted = {f'{key}="{value}"' for key, value in labels.items()}
+    for line in made.exposition().decode().splitlines():
+        head, _, value = line.rpartition(" ")
+        found, _, rest = head.partition("{")
+        if found == f"oleanderbay_{name}" and wanted <= set(
+            rest.rstrip("}").split(",")
+        ):
+            return float(value)
+    return None
+
+
+def test_the_sdk_is_imported_only_if_an_exporter_is_chosen():
+    """It costs memory on every instance."""
+    program = (
+        "import sys; from oleanderbay.gateway import entry;"
+        "print([m for m in sys.modules if m.startswith(("
+        "'opentelemetry.sdk', 'opentelemetry.exporter', 'prometheus_client',"
+        "'grpc', 'google.protobuf', 'requests'))])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True
+    )
+    assert done.stdout == "[]\n", done.stderr
+
+
+async def test_a_resumed_stream_is_two_attempts_of_one_request(made):
+    """The pipeline has to report each of them once."""
+    service = table.Service(name="chat", health_path="")
+    current = mock.Mock(keyed=False, services={"chat": service})
+    current.route.return_value = ROUTE
+    exchanges = [mock.AsyncMock(status=200, close=mock.Mock()) for _ in "ab"]
+    broken = sending.AttemptError("broke off", True)
+    exchanges[0].read.side_effect = [b"id: 0\n\n", broken]
+    exchanges[1].read.side_effect = [b"id: 1\n\n", b""]
+    sink = mock.AsyncMock(started=False)
+    sink.begin.side_effect = lambda *_: setattr(sink, "started", True)
+    clock = clocks.ManualClock()
+    parts = pipeline.Parts(
+        known=SimpleNamespace(table=current),
+        waiting=mock.Mock(place=mock.AsyncMock(return_value=WORKER)),
+        choices=mock.Mock(),
+        loads=mock.Mock(),
+        evidence=health.Health(clock),
+        retries=mock.Mock(),
+        demand=mock.Mock(),
+        sender=mock.Mock(open=mock.AsyncMock(side_effect=exchanges)),
+        translator=mock.Mock(verdict=lambda *_: interfaces.Verdict.SUCCESS),
+        clock=clock,
+        rng=mock.Mock(),
+        max_answer_bytes=1,
+        max_event_bytes=100,
+        telemetry=made,
+    )
+    assert await pipeline.Pipeline(parts).run(CALL, sink) is None
+    chat = {"service": "chat"}
+    assert _value(made, "requests_total", outcome="answered", **chat) == 1
+    assert _value(made, "attempts_total", result="failed", **chat) == 1
+    assert _value(made, "attempts_total", result="answered", **chat) == 1
+    assert _value(made, "resumed_streams_total", **chat) == 1
+    assert _value(made, "first_event_milliseconds_count", **chat) == 1
+
+
+def test_requests_without_an_answer_are_counted_by_reason(made):
+    """A cancelled request must not look like a refused one."""
+    for error, labels in (
+        (asyncio.CancelledError, {"reason": "cancelled"}),
+        (KeyError, {"reason": "fault"}),
+    ):
+        with pytest.raises(error), made.request(CALL):
+            raise error
+        labels = {"service": "none", "outcome": "unknown", **labels}
+        assert _value(made, "requests_total", **labels) == 1
+    with made.request(CALL) as seen:
+        seen.refusal = outcome.Refusal(
+            reason=outcome.Reason.NO_ROUTE,
+            outcome=outcome.Outcome.NOT_RUN,
+            message="",
+        )
+    labels = {"outcome": "not-run", "reason": "no_route"}
+    assert _value(made, "requests_total", **labels) == 1
+
+
+def test_attempts_are_counted_by_result(made):
+    """A worker that refuses must not look like one that fails."""
+    for ended, result in (
+        ((None,), "answered"),
+        ((pipeline.Failed("", ran=True, arrived=True),), "failed"),
+        ((pipeline.Failed("", ran=False, arrived=True),), "refused"),
+        ((pipeline.Failed("", ran=False, arrived=False),), "not_connected"),
+        ((), "cancelled"),
+    ):
+        with made.attempt("chat", "w1") as seen:
+            if ended:
+                seen.ended(*ended)
+        assert _value(made, "attempts_total", result=result) == 1
+
+
+async def test_each_order_is_counted_by_operation_and_result(made):
+    """The wrapper must pass every operation on and lose no answer."""
+    fenced = interfaces.OrderResult.FENCED
+    inner = mock.AsyncMock(
+        **{
+            f"{name}.return_value": fenced
+            for name in (
+                "join",
+                "open",
+                "close_group",
+                "leave",
+                "stage",
+                "report",
+            )
+        }
+    )
+    given = made.orders(inner)
+    assert await given.join(WORKER, 1, "g", 1, "m", ["w1"]) is fenced
+    assert await given.open(WORKER, 1, "g", 1) is fenced
+    assert await given.close_group(WORKER, 1, "g", 1, False) is fenced
+    assert await given.leave(WORKER, 1, "g", 1) is fenced
+    assert await given.stage(WORKER, 1, "m") is fenced
+    assert await given.report(WORKER, 1) is fenced
+    inner.healthy.return_value = False
+    assert await given.healthy(WORKER, "/", 1) is False
+    assert _value(made, "orders_total", result="unhealthy") == 1
+    for operation in ("join", "open", "close", "leave", "stage", "report"):
+        labels = {"operation": operation, "result": "fenced"}
+        assert _value(made, "orders_total", **labels) == 1
+
+
+async def test_failures_of_the_store_are_counted_and_raised(made):
+    """History that is gone is an answer; a feed reads anew after it."""
+    names = ("newest", "read", "put", "join", "leave")
+    down = interfaces.StoreError("down")
+    inner = mock.AsyncMock(**{f"{name}.side_effect": down for name in names})
+    store, topic = made.store(inner), interfaces.Topic.WORKERS
+    for failing in (
+        store.newest(topic),
+        store.read(topic, 0, 0),
+        store.put(topic, "k", b""),
+        store.join("m", 1, 1),
+        store.leave("m"),
+    ):
+        with pytest.raises(interfaces.StoreError):
+            await failing
+    inner.read.side_effect = interfaces.HistoryGoneError("gone")
+    with pytest.raises(interfaces.HistoryGoneError):
+        await store.read(topic, 0, 0)
+    for name in names:
+        assert _value(made, "store_failures_total", operation=name) == 1
+    labels = {"topic": "workers"}
+    assert _value(made, "store_reads_total", result="failed", **labels) == 2
+    labels["result"] = "history_gone"
+    assert _value(made, "store_reads_total", **labels) == 1
+
+
+def test_gauges_without_a_value_are_left_out(made):
+    """A version of 0 would look like a configuration."""
+    known = SimpleNamespace(table=None)
+    feed = mock.Mock(answered_ms=-1, age_ms=lambda: 40)
+    made.watch(known, {"configuration": feed}, {"g2": None})
+    assert _value(made, "peers_live") == 1
+    assert _value(made, "configuration_version") is None
+    assert _value(made, "configuration_age_milliseconds") is None
+    known.table, feed.answered_ms = mock.Mock(version=7), 0
+    assert _value(made, "configuration_version") == 7
+    assert _value(made, "configuration_age_milliseconds") == 40
+
+
+def test_without_an_exporter_headers_are_unchanged():
+    """A worker must get what the caller sent."""
+    off, headers, inner = telemetry.OFF, HEADERS.copy(), mock.Mock()
+    with off.request(CALL), off.attempt("s", "w1"):
+        off.inject(headers)
+    assert headers == HEADERS and off.exposition() is None
+    assert off.store(inner) is inner and off.orders(inner) is inner
+
+
+async def test_each_hop_is_one_span_in_the_trace_of_the_caller():
+    """A trace that ends at the gateway does not show the slow worker."""
+    config = settings.TelemetrySettings(
+        traces="otlp", otlp_endpoint="http://127.0.0.1:9"
+    )
+    traced = telemetry.Telemetry(config, "g")
+    await traced.close()
+    spans = in_memory_span_exporter.InMemorySpanExporter()
+    provider = sdk_trace.TracerProvider()
+    provider.add_span_processor(export.SimpleSpanProcessor(spans))
+    traced._tracer = provider.get_tracer("test")
+    headers = {}
+    with traced.request(CALL), traced.attempt("chat", "w1") as attempt:
+        traced.inject(headers)
+        attempt.ended(None)
+    done = mock.AsyncMock(return_value=interfaces.OrderResult.DONE)
+    await traced.orders(mock.Mock(open=done)).open(WORKER, 1, "g", 1)
+    await traced.records("workers", "g2", mock.AsyncMock(return_value=True)())
+    sent, received, order, records = spans.get_finished_spans()
+    assert f"{received.context.trace_id:032x}" == PARENT.split("-")[1]
+    assert sent.parent.span_id == received.context.span_id
+    assert int(headers["traceparent"].split("-")[2], 16) == (
+        sent.context.span_id
+    )
+    assert received.name == "request" and sent.name == "attempt"
+    assert received.attributes["outcome"] == "answered"
+    assert order.name == "order" and order.attributes["result"] == "done"
+    assert records.name == "records" and records.attributes["peer"] == "g2"
+
+
+def test_a_missing_package_is_named(monkeypatch):
+    """The gateway's own requirements do not include the SDK."""
+    monkeypatch.setitem(sys.modules, "oleanderbay.process.exporters", None)
+    monkeypatch.delattr("oleanderbay.process.exporters", raising=False)
+    with pytest.raises(telemetry.TelemetryError, match="not installed"):
+        telemetry.Telemetry(settings.TelemetrySettings(metrics="otlp"), "g")
