Judge a worker's answer by its own framing

Cause: the HTTP client dropped an answer that came in one segment with bytes that are not part of it, waited for the deadline after a malformed chunk that followed the head in a later segment, and sent a target that ends in a question mark without it.

Change: the client gets the head of an answer by itself, errors after a complete answer are ignored, an error inside a body fails its reader, and the target is sent as it came.

--- a/oleanderbay/gateway/sending.py
+++ b/oleanderbay/gateway/sending.py
@@ -7,11 +7,13 @@
 import aiohttp
 import multidict
 import yarl
-from aiohttp import client_proto
+from aiohttp import client_proto, helpers, streams
 
 from oleanderbay.gateway import interfaces, workers
 
 READ_BUFFER_BYTES = 65_536
+END = b"\r\n\r\n"
+NO_CAUSE = helpers._EXC_SENTINEL
 SKIPPED_HEADERS = (
     "User-Agent",
     "Accept",
@@ -36,12 +38,56 @@
 
 
 class _Connection(client_proto.ResponseHandler):
-    """A connection whose reset never looks like the end of an answer.
+    """A connection for one answer, judged by the answer's own framing.
 
-    An answer without a length ends with its connection. The library takes a
-    reset for such an end as well.
+    An answer without a length ends with its connection; the library takes a
+    reset for such an end as well. The library also drops an answer that comes
+    together with bytes that are none, so it gets the head by itself, and what
+    happens after a complete answer is ignored.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._answer: streams.StreamReader | None = None
+        # Bytes at the end that may be a part of the end of a head.
+        self._last = b""
+
+    def data_received(self, data: bytes) -> None:
+        """Parses bytes up to the end of the answer."""
+        while self._answer is None:
+            found = (self._last + data).find(END)
+            end = found + len(END) - len(self._last)
+            if found < 0 or end == len(data):
+                break
+            self._parse(data[:end])
+            self._last, data = b"", data[end:]
+        self._last = (self._last + data)[1 - len(END) :]
+        if not self._complete():
+            self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        known = len(self)
+        super().data_received(data)
+        if self._answer is None and len(self) > known:
+            message, payload = self._buffer[-1][0]
+            # Interim answers come before the one that is meant.
+            if message.code >= 200:
+                self._answer = payload
+
+    def _complete(self) -> bool:
+        return self._answer is not None and self._answer.is_eof()
+
+    def set_exception(
+        self, exc: BaseException, exc_cause: BaseException = NO_CAUSE
+    ) -> None:
+        """Fails the answer, unless all of it is there."""
+        if not self._complete():
+            super().set_exception(exc, exc_cause)
+            if self._answer is not None and self._answer.exception() is None:
+                self._answer.set_exception(
+                    aiohttp.ClientPayloadError("the answer is malformed")
+                )
+
     def connection_lost(self, exc: BaseException | None) -> None:
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
@@ -146,6 +192,9 @@
         """
         assert self._session is not None
         url = yarl.URL(f"http://{worker.address}{call.target}", encoded=True)
+        if call.target.endswith("?") and url.raw_path_qs != call.target:
+            # The URL type drops a question mark without a query.
+            url._cache["raw_path_qs"] = call.target
         options: dict[str, Any] = {}
         if call.body is not None:
             options["data"] = call.body
