Split the keeper of groups by what each part decides

Change: formation, dissolution, inspection, ordering, capacity and tasks are modules of their own; the keeper only reviews domains. Behaviour is unchanged.

--- /dev/null
+++ b/oleanderbay/gateway/capacity.py
@@ -0,0 +1,110 @@
+"""Capacity by model, and the loads that may begin."""
+
+import collections
+from collections.abc import Iterable, Mapping
+
+from oleanderbay.gateway import demand, planner, table, workers
+from oleanderbay.gateway import settings as settings_module
+from oleanderbay.process import clock as clocks
+
+# Loads are left to spare below the limit of the weight store, since each
+# owner hears of the others' loads a heartbeat late.
+LOAD_SHARE = 0.7
+
+Key = tuple[str, int]
+
+
+class Capacity:
+    """Counts loads and planned conversions over all gateways.
+
+    Attributes:
+        told_loads: Loads that peers have begun within the window.
+        told_planned: Groups by model that peers' conversions will allow.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        config: settings_module.Settings,
+        needs: demand.Demand,
+    ) -> None:
+        self.clock = clock
+        self.config = config
+        self.demand = needs
+        self.told_loads: dict[str, int] = {}
+        self.told_planned: dict[str, Mapping[str, int]] = {}
+        self._begun: collections.deque[int] = collections.deque()
+        self._planned: list[tuple[int, str]] = []
+
+    def begin_loads(self, count: int) -> None:
+        """Counts loads; those before the first request are not limited."""
+        if self.demand.begun:
+            self._begun.extend([self.clock.now_ms()] * count)
+
+    def loads_begun(self) -> int:
+        """Returns the own loads within the window of the limit."""
+        before_ms = self.clock.now_ms() - self.config.limits.load_window_ms
+        while self._begun and self._begun[0] <= before_ms:
+            self._begun.popleft()
+        return len(self._begun)
+
+    def loads_left(self, engine: table.Engine) -> int:
+        """Returns the loads that may begin now."""
+        if not self.demand.begun:
+            return 1 << 20
+        window_s = self.config.limits.load_window_ms / 1000
+        allowed = int(LOAD_SHARE * engine.loads_per_s * window_s)
+        return allowed - self.loads_begun() - sum(self.told_loads.values())
+
+    def plan(self, model: str) -> None:
+        """Counts a group that a conversion will soon allow."""
+        until_ms = self.clock.now_ms() + self.config.workers.stall_ms
+        self._planned.append((until_ms, model))
+
+    def planned(self) -> dict[str, int]:
+        """Returns groups by model that own conversions will soon allow."""
+        now_ms = self.clock.now_ms()
+        self._planned = [item for item in self._planned if item[0] > now_ms]
+        return dict(collections.Counter(model for _, model in self._planned))
+
+    def told(
+        self, peer_id: str, loads: int, planned: Mapping[str, int]
+    ) -> None:
+        """Takes what a peer has begun."""
+        self.told_loads[peer_id] = loads
+        self.told_planned[peer_id] = planned
+
+    def keep(self, peer_ids: frozenset[str]) -> None:
+        """Forgets what all other peers said."""
+        for peer_id in tuple(self.told_loads):
+            if peer_id not in peer_ids:
+                del self.told_loads[peer_id]
+                del self.told_planned[peer_id]
+
+    def needs(
+        self,
+        service: table.Service,
+        standing: Iterable[workers.Group],
+        forming: Iterable[str],
+        local: Iterable[workers.Group],
+    ) -> dict[str, planner.Need]:
+        """Returns demand and capacity of each model of a service.
+
+        Args:
+            service: The service.
+            standing: Its groups that serve or will serve.
+            forming: Models of groups that no record shows yet.
+            local: The groups of `standing` in the domain that is planned.
+        """
+        assert service.engine is not None
+        slots = service.engine.slots
+        groups = collections.Counter(group.model for group in standing)
+        groups.update(forming)
+        for planned in (self.planned(), *self.told_planned.values()):
+            groups.update(planned)
+        here = collections.Counter(group.model for group in local)
+        return self.demand.needs(
+            service,
+            {name: float(count * slots) for name, count in groups.items()},
+            {name: float(count * slots) for name, count in here.items()},
+        )
--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -276,7 +276,7 @@
         live = frozenset(self.peers.live)
         self.loads.keep(live)
         self.demand.keep(live)
-        self.keeper.keep(live)
+        self.keeper.capacity.keep(live)
         self.evidence.keep(
             live, frozenset((*self.known.workers, *self.known.absent))
         )
@@ -288,8 +288,8 @@
             "suspects": self.evidence.suspects(),
             "sound": self.evidence.sound(),
             "lost": self.evidence.lost,
-            "loads_begun": self.keeper.loads_begun(),
-            "planned": self.keeper.planned(),
+            "loads_begun": self.keeper.capacity.loads_begun(),
+            "planned": self.keeper.capacity.planned(),
             "serving": self.demand.begun,
         }
 
@@ -300,8 +300,9 @@
         self.evidence.told(
             peer.id, body["suspects"], body["sound"], dict(body["lost"])
         )
-        self.keeper.told_loads[peer.id] = int(body["loads_begun"])
-        self.keeper.told_planned[peer.id] = dict(body["planned"])
+        self.keeper.capacity.told(
+            peer.id, int(body["loads_begun"]), dict(body["planned"])
+        )
         if body["serving"]:
             self.demand.begun = True
 
--- a/tests/gateway/test_keeper.py
+++ b/tests/gateway/test_keeper.py
@@ -304,7 +304,9 @@
     seen = []
     for _ in range(60):
         await world.clock.advance(100)
-        seen.extend(key for key in world.keeper.forming if key not in seen)
+        seen.extend(
+            key for key in world.keeper.formations.forming if key not in seen
+        )
     assert len(seen) > 1
     assert len({name for name, _ in seen}) == len(seen)
     assert [epoch for _, epoch in seen] == sorted({e for _, e in seen})
