--- a/bench/report.py
+++ b/bench/report.py
@@ -7,7 +7,7 @@
 import pathlib
 from collections.abc import Sequence
 
-from bench import harness
+from bench import harness, rounds
 
 
 def write(
@@ -32,6 +32,7 @@
         "<h1>Benchmark results</h1><table><tr><th>figure<th>value<th>unit"
         f"<th>bound<th>deterministic</tr>{rows}</table>"
         f"<h2>Growth</h2>{plots}"
+        f"<h2>Rounds on the users' bench</h2>{rounds.table(rounds.load())}"
     )
     return page
 
