--- a/oleanderbay/gateway/peers.py
+++ b/oleanderbay/gateway/peers.py
@@ -106,7 +106,7 @@
         self.heard = heard
         self.live: dict[str, Peer] = {}
         self.addresses: dict[str, str] = {
-            host: "" for host in config.peers.seeds
+            seed.partition(":")[0]: "" for seed in config.peers.seeds
         }
         self._seen: dict[str, Peer] = {}
         self._started_ms = clock.now_ms()
--- a/oleanderbay/gateway/settings.py
+++ b/oleanderbay/gateway/settings.py
@@ -85,7 +85,9 @@
 
     Attributes:
         port: Port of all gateways, for UDP and TCP.
-        seeds: Hosts of some gateways; they may be stale.
+        seeds: Hosts of some gateways, with or without a port; they may be
+            stale. A gateway that starts while the store is down gets the
+            configuration and the workers' records from them.
         heartbeat_ms: Time between heartbeats.
         live_ms: Time after which a silent peer is left out.
         forget_ms: Time after which a silent peer no longer counts towards
