--- /dev/null
+++ b/oleanderbay/gateway/observed.py
@@ -0,0 +1,198 @@
+"""Orders and the store, with a span or a count for each call."""
+
+import contextlib
+from collections.abc import Awaitable, Sequence
+from typing import Any, TypeVar
+
+from opentelemetry import trace
+
+from oleanderbay.gateway import interfaces, workers
+from oleanderbay.gateway import telemetry as telemetry_module
+
+_Result = TypeVar(
+    "_Result",
+    bool,
+    interfaces.OrderResult,
+    interfaces.Report | interfaces.OrderResult,
+)
+
+
+def orders(
+    telemetry: telemetry_module.Telemetry, inner: interfaces.Orders
+) -> interfaces.Orders:
+    """Returns orders that report what became of each."""
+    return _Orders(telemetry, inner)
+
+
+def store(
+    telemetry: telemetry_module.Telemetry, inner: interfaces.Store
+) -> interfaces.Store:
+    """Returns a store that counts reads and failures."""
+    return _Store(telemetry, inner)
+
+
+class _Orders:
+    """Orders to workers, with a span and a count for each."""
+
+    def __init__(
+        self, telemetry: telemetry_module.Telemetry, inner: interfaces.Orders
+    ) -> None:
+        self.telemetry = telemetry
+        self.inner = inner
+
+    async def join(
+        self,
+        worker: workers.Worker,
+        fence: int,
+        group: str,
+        epoch: int,
+        model: str,
+        members: Sequence[str],
+    ) -> interfaces.OrderResult:
+        return await self._observed(
+            "join",
+            worker,
+            self.inner.join(worker, fence, group, epoch, model, members),
+        )
+
+    async def open(
+        self, worker: workers.Worker, fence: int, group: str, epoch: int
+    ) -> interfaces.OrderResult:
+        return await self._observed(
+            "open", worker, self.inner.open(worker, fence, group, epoch)
+        )
+
+    async def close_group(
+        self,
+        worker: workers.Worker,
+        fence: int,
+        group: str,
+        epoch: int,
+        abrupt: bool,
+    ) -> interfaces.OrderResult:
+        return await self._observed(
+            "close",
+            worker,
+            self.inner.close_group(worker, fence, group, epoch, abrupt),
+        )
+
+    async def leave(
+        self, worker: workers.Worker, fence: int, group: str, epoch: int
+    ) -> interfaces.OrderResult:
+        return await self._observed(
+            "leave", worker, self.inner.leave(worker, fence, group, epoch)
+        )
+
+    async def stage(
+        self, worker: workers.Worker, fence: int, model: str
+    ) -> interfaces.OrderResult:
+        return await self._observed(
+            "stage", worker, self.inner.stage(worker, fence, model)
+        )
+
+    async def healthy(
+        self, worker: workers.Worker, path: str, timeout_ms: int
+    ) -> bool:
+        return await self._observed(
+            "health", worker, self.inner.healthy(worker, path, timeout_ms)
+        )
+
+    async def report(
+        self, worker: workers.Worker, timeout_ms: int
+    ) -> interfaces.Report | interfaces.OrderResult:
+        return await self._observed(
+            "report", worker, self.inner.report(worker, timeout_ms)
+        )
+
+    async def _observed(
+        self, operation: str, worker: workers.Worker, given: Awaitable[_Result]
+    ) -> _Result:
+        with self.telemetry.span(
+            "order",
+            trace.SpanKind.CLIENT,
+            {"operation": operation, "worker": worker.id},
+        ):
+            found = await given
+            if isinstance(found, bool):
+                result = "done" if found else "unhealthy"
+            elif isinstance(found, interfaces.Report):
+                result = "done"
+            else:
+                result = found.value
+            self.telemetry.tell({"result": result})
+        self.telemetry.instruments.orders.add(
+            1, {"operation": operation, "result": result}
+        )
+        return found
+
+
+class _Store:
+    """The shared store, with counts of reads and failures."""
+
+    def __init__(
+        self, telemetry: telemetry_module.Telemetry, inner: interfaces.Store
+    ) -> None:
+        self.telemetry = telemetry
+        self.inner = inner
+
+    @property
+    def partitions(self) -> int:
+        return self.inner.partitions
+
+    async def newest(self, topic: interfaces.Topic) -> interfaces.Page:
+        return await self._read("newest", topic, self.inner.newest(topic))
+
+    async def read(
+        self, topic: interfaces.Topic, start: int, wait_ms: int
+    ) -> interfaces.Page:
+        return await self._read(
+            "read", topic, self.inner.read(topic, start, wait_ms)
+        )
+
+    async def put(
+        self, topic: interfaces.Topic, key: str, value: bytes | None
+    ) -> None:
+        with self._failures("put"):
+            await self.inner.put(topic, key, value)
+
+    async def join(
+        self, member: str, ttl_ms: int, generation: int
+    ) -> interfaces.Ownership:
+        with self._failures("join"):
+            return await self.inner.join(member, ttl_ms, generation)
+
+    async def leave(self, member: str) -> None:
+        with self._failures("leave"):
+            await self.inner.leave(member)
+
+    async def _read(
+        self,
+        operation: str,
+        topic: interfaces.Topic,
+        given: Awaitable[interfaces.Page],
+    ) -> interfaces.Page:
+        result = "failed"
+        try:
+            with self._failures(operation):
+                page = await given
+            result = "ok"
+            return page
+        except interfaces.HistoryGoneError:
+            result = "history_gone"
+            raise
+        finally:
+            self.telemetry.instruments.store_reads.add(
+                1, {"topic": topic.value, "result": result}
+            )
+
+    @contextlib.contextmanager
+    def _failures(self, operation: str) -> Any:
+        try:
+            yield
+        except interfaces.HistoryGoneError:
+            raise
+        except interfaces.StoreError:
+            self.telemetry.instruments.store_failures.add(
+                1, {"operation": operation}
+            )
+            raise
