Limit the heartbeats that a gateway sends a second

Full-mesh heartbeats every 200 ms grow with the square of the gateways: 1,100 would send 5,495 a second each.

The interval now grows with the live peers, and with the addresses that are tried from time to time, so that max_heartbeats_per_s (200) holds, up to an interval of 1 s. Heartbeats state the interval, and a peer is live for four of the intervals it states, or live_ms if that is longer. Up to 41 gateways nothing changes. From 201 on the interval stays at 1 s, so the limit no longer holds: 1,099 a second at 1,100 gateways.

--- a/oleanderbay/gateway/peers.py
+++ b/oleanderbay/gateway/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -23,6 +24,12 @@
 FETCH_AFTER_MS = 250
 # Silent addresses are tried this often, in heartbeats.
 SILENT_EVERY = 10
+# Heartbeats of many gateways are spread up to this time. Peers' loads and
+# suspicions would be too old for a choice after a longer one.
+LONGEST_INTERVAL_MS = 1_000
+# A peer is live for this many of its intervals; with fewer, datagrams that are
+# lost in a row would take a gateway out of the directory.
+LIVE_INTERVALS = 4
 
 log = structlog.get_logger()
 
@@ -43,6 +50,7 @@
         sequence: Number of that heartbeat.
         offsets: Offsets of its feeds by topic.
         store_age_ms: Time since the store answered it.
+        interval_ms: Time from that heartbeat to its next one.
         ahead_since_ms: Since when it has had newer records, by topic.
     """
 
@@ -57,6 +65,7 @@
     sequence: int
     offsets: Mapping[str, int]
     store_age_ms: int
+    interval_ms: int
     ahead_since_ms: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
@@ -137,16 +146,25 @@
         """Sends heartbeats until cancelled."""
         while True:
             self.beat()
-            await self.clock.sleep_ms(self.config.peers.heartbeat_ms)
+            await self.clock.sleep_ms(self.interval_ms())
+
+    def interval_ms(self) -> int:
+        """Returns the time to the next heartbeat.
+
+        It grows with the known gateways, so that a full mesh of heartbeats
+        stays within the limit of the settings up to the longest interval.
+        """
+        peers = self.config.peers
+        live = {peer.host for peer in self.live.values()}
+        silent = self.addresses.keys() - live - {self.config.entry.host}
+        links = len(live) + len(silent) / SILENT_EVERY
+        spread_ms = math.ceil(1000 * links / peers.max_heartbeats_per_s)
+        return max(peers.heartbeat_ms, min(LONGEST_INTERVAL_MS, spread_ms))
 
     def known(self) -> int:
         """Returns the number of gateways that share global limits."""
-        now_ms = self.clock.now_ms()
-        forget_ms = self.config.peers.forget_ms
-        count = 1 + sum(
-            now_ms - peer.heard_ms < forget_ms for peer in self._seen.values()
-        )
-        if now_ms - self._started_ms < forget_ms:
+        count = 1 + sum(map(self._counts, self._seen.values()))
+        if self._starting():
             # Until all peers had time to be heard, addresses count as peers.
             others = len(self.addresses) - (
                 self.config.entry.host in self.addresses
@@ -156,14 +174,10 @@
 
     def rank(self, key: str) -> int:
         """Returns this gateway's place in the order of gateways for a key."""
-        now_ms = self.clock.now_ms()
-        forget_ms = self.config.peers.forget_ms
         hosts = {
-            peer.host
-            for peer in self._seen.values()
-            if now_ms - peer.heard_ms < forget_ms
+            peer.host for peer in self._seen.values() if self._counts(peer)
         }
-        if now_ms - self._started_ms < forget_ms:
+        if self._starting():
             hosts.update(self.addresses)
         own = self.config.entry.host
         place = xxhash.xxh64_intdigest(f"{key}/{own}".encode())
@@ -198,6 +212,7 @@
                 "sequence": self._sequence,
                 "offsets": {n: f.offset for n, f in self.feeds.items()},
                 "store_age_ms": min(f.age_ms() for f in self.feeds.values()),
+                "interval_ms": self.interval_ms(),
                 **self.contents(),
             }
         )
@@ -231,6 +246,10 @@
                 sequence=int(body["sequence"]),
                 offsets=dict(body["offsets"]),
                 store_age_ms=int(body["store_age_ms"]),
+                # Gateways of an earlier version don't say it.
+                interval_ms=int(
+                    body.get("interval_ms", self.config.peers.heartbeat_ms)
+                ),
             )
         except (
             ValueError,
@@ -262,14 +281,36 @@
     def _review(self) -> None:
         now_ms = self.clock.now_ms()
         for peer in tuple(self.live.values()):
-            if now_ms - peer.heard_ms > self.config.peers.live_ms:
+            if now_ms - peer.heard_ms > self._live_ms(peer):
                 del self.live[peer.id]
                 log.info("peer silent", peer=peer.id)
         for peer in tuple(self._seen.values()):
-            if now_ms - peer.heard_ms > 10 * self.config.peers.forget_ms:
+            if now_ms - peer.heard_ms > 10 * self._forget_ms(peer):
                 del self._seen[peer.id]
                 self.addresses.pop(peer.host, None)
 
+    def _live_ms(self, peer: Peer) -> int:
+        # The interval comes from the network, so it is bounded here.
+        longest_ms = max(LONGEST_INTERVAL_MS, self.config.peers.heartbeat_ms)
+        return max(
+            self.config.peers.live_ms,
+            LIVE_INTERVALS * min(peer.interval_ms, longest_ms),
+        )
+
+    def _forget_ms(self, peer: Peer) -> int:
+        # A live peer always counts towards the shares of global limits.
+        return max(self.config.peers.forget_ms, self._live_ms(peer))
+
+    def _counts(self, peer: Peer) -> bool:
+        """Whether a peer takes its share of global limits."""
+        silent_ms = self.clock.now_ms() - peer.heard_ms
+        return silent_ms < self._forget_ms(peer)
+
+    def _starting(self) -> bool:
+        """Whether there may be peers that had no time to be heard."""
+        passed_ms = self.clock.now_ms() - self._started_ms
+        return passed_ms < self.config.peers.forget_ms
+
     def _compare(self, peer: Peer) -> None:
         """Fetches records that a peer has had for some time."""
         now_ms = self.clock.now_ms()
--- a/oleanderbay/gateway/settings.py
+++ b/oleanderbay/gateway/settings.py
@@ -86,8 +86,11 @@
     Attributes:
         port: Port of all gateways, for UDP and TCP.
         seeds: Hosts of some gateways; they may be stale.
-        heartbeat_ms: Time between heartbeats.
-        live_ms: Time after which a silent peer is left out.
+        heartbeat_ms: Time between heartbeats, at least.
+        max_heartbeats_per_s: Most heartbeats that this gateway sends a
+            second; with more peers it sends them less often, down to one a
+            second to each.
+        live_ms: Time after which a silent peer is left out, at least.
         forget_ms: Time after which a silent peer no longer counts towards
             the shares of global limits.
     """
@@ -95,6 +98,7 @@
     port: int = _field(low=1, high=65_535)
     seeds: tuple[str, ...] = ()
     heartbeat_ms: int = _ms(200)
+    max_heartbeats_per_s: int = _field(200, low=1, high=100_000)
     live_ms: int = _ms(1_500)
     forget_ms: int = _ms(6_000)
 
