--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -15,6 +15,7 @@
 import msgpack
 import multidict
 import structlog
+from aiohttp import test_utils, web
 
 from bench import harness
 from oleanderbay.gateway import (
@@ -244,7 +245,12 @@
     body = _heartbeat(1, in_flight)
     for number in range(1, peers + 1):
         config = _settings(number, "")
-        body |= {"id": config.entry.id, "host": config.entry.host}
+        body |= {
+            "id": config.entry.id,
+            "host": config.entry.host,
+            "callers": config.listeners.callers,
+            "ready": True,
+        }
         gateway.peers._received(msgpack.packb(body))
 
 
@@ -569,6 +575,41 @@
     return run, gateway.known.workers["worker-0"]
 
 
+async def _answer(gateway: entry.Gateway, request: web.Request) -> web.Response:
+    answer = await gateway.listeners._serve_other(request)
+    assert isinstance(answer, web.Response) and answer.status == 200
+    return answer
+
+
+async def _answer_us(gateway: entry.Gateway) -> float:
+    calls = 50
+    request = test_utils.make_mocked_request("GET", "/directory")
+    best_us = float("inf")
+    for _ in range(3):
+        start_ns = time.process_time_ns()
+        for _ in range(calls):
+            await _answer(gateway, request)
+        spent_us = (time.process_time_ns() - start_ns) / 1_000
+        best_us = min(best_us, spent_us / calls)
+    return best_us
+
+
+def _directory() -> Iterator[harness.Result]:
+    # Without the connection and the heads of request and answer.
+    times, sizes = [], []
+    for peers in PEERS:
+        gateway = _gateway()
+        _fill(gateway, 0)
+        _hear(gateway, peers)
+        times.append((1 + peers, asyncio.run(_answer_us(gateway))))
+        request = test_utils.make_mocked_request("GET", "/directory")
+        body = asyncio.run(_answer(gateway, request)).body
+        assert isinstance(body, bytes)
+        sizes.append((1 + peers, float(len(body))))
+    yield _result("directory_answer", "us", times)
+    yield _result("directory_answer_bytes", "B", sizes, deterministic=True)
+
+
 async def _event_us(groups: int, peers: int) -> float:
     gateway = _gateway(clock=clocks.SystemClock())
     _fill(gateway, GROUP_SIZE * groups)
@@ -791,5 +832,6 @@
     yield from _memory()
     yield from _keeper()
     yield from _choices()
+    yield from _directory()
     yield from _streams()
     yield from _store()
