--- a/oleanderbay/gateway/settings.py
+++ b/oleanderbay/gateway/settings.py
@@ -88,8 +88,11 @@
         seeds: Hosts of some gateways, with or without a port; they may be
             stale. A gateway that starts while the store is down gets the
             configuration and the workers' records from them.
-        heartbeat_ms: Time between heartbeats.
-        live_ms: Time after which a silent peer is left out.
+        heartbeat_ms: Time between heartbeats, at least.
+        max_heartbeats_per_s: Most heartbeats that this gateway sends a
+            second; with more peers it sends them less often, down to one a
+            second to each.
+        live_ms: Time after which a silent peer is left out, at least.
         forget_ms: Time after which a silent peer no longer counts towards
             the shares of global limits.
     """
@@ -97,6 +100,7 @@
     port: int = _field(low=1, high=65_535)
     seeds: tuple[str, ...] = ()
     heartbeat_ms: int = _ms(200)
+    max_heartbeats_per_s: int = _field(200, low=1, high=100_000)
     live_ms: int = _ms(1_500)
     forget_ms: int = _ms(6_000)
 
