Read on at once while the store has further records

Change: a page says whether more is there, and the feed does not wait then. Result: a test that fails without the change.

--- a/oleanderbay/gateway/feed.py
+++ b/oleanderbay/gateway/feed.py
@@ -56,6 +56,7 @@
         # may have moved the offset past keys that were never seen.
         whole = True
         while True:
+            more = False
             try:
                 if whole:
                     self.replace(await self.store.newest(self.topic))
@@ -65,6 +66,7 @@
                         self.topic, max(0, self.offset), self.wait_ms
                     )
                     self.merge(page.records, page.end_offset)
+                    more = page.more
                 self._answered()
             except interfaces.HistoryGoneError:
                 whole = True
@@ -79,7 +81,9 @@
                 self._failing = True
                 await self.clock.sleep_ms(RETRY_MS)
                 continue
-            if self.interval_ms:
+            # One read holds a limited size; a feed that waited after each
+            # would fall behind for good above a certain rate of records.
+            if self.interval_ms and not more:
                 await self.clock.sleep_ms(self.interval_ms)
 
     def age_ms(self) -> int:
--- a/oleanderbay/gateway/interfaces.py
+++ b/oleanderbay/gateway/interfaces.py
@@ -49,10 +49,12 @@
     Attributes:
         records: The records in the order of their offsets.
         end_offset: Offset of the next record to come.
+        more: Whether the store has further records already.
     """
 
     records: tuple[KeyedRecord, ...]
     end_offset: int
+    more: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/oleanderbay/platform/store.py
+++ b/oleanderbay/platform/store.py
@@ -243,7 +243,7 @@
         offset += 1
     if start > end_offset:
         raise interfaces.HistoryGoneError(f"records end at {end_offset}")
-    return interfaces.Page(tuple(records), offset)
+    return interfaces.Page(tuple(records), offset, offset < end_offset)
 
 
 def _keyed(offset: int, content: bytes) -> interfaces.KeyedRecord:
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -55,6 +55,22 @@
     task.cancel()
 
 
+async def test_a_feed_that_is_behind_reads_on_at_once():
+    """A read holds a limited size; above that rate it fell behind for good."""
+    store, clock = parts.Store(), clocks.ManualClock()
+    made, _ = followed(store, clock)
+    store.answers = [
+        page(0),
+        interfaces.Page((RECORD(0, "a", b"1"),), 1, more=True),
+        interfaces.Page((RECORD(1, "a", b"2"),), 2, more=True),
+        page(3, (2, "a", b"3")),
+    ]
+    task = asyncio.create_task(made.run())
+    await clock.advance(made.interval_ms)
+    assert store.calls == ["newest", 0, 1, 2]
+    task.cancel()
+
+
 def test_an_older_record_changes_nothing():
     """A late answer would bring back a version or a worker that left."""
     made, changes = followed(parts.Store(), clocks.ManualClock())
