--- a/oleanderbay/gateway/keeper.py
+++ b/oleanderbay/gateway/keeper.py
@@ -32,9 +32,8 @@
 STEP_MS = 100
 # Added to a heartbeat before records count as current after a gap.
 SETTLE_MS = 300
-# Pressure from which idle workers load a model although none is refused yet:
-# a load takes longer than the demand takes to rise.
-SHORT = 0.5
+# Pressure from which the warm workers of a model are kept for it.
+ENOUGH = 0.4
 # How often the owner of a domain considers to convert a group.
 SURPLUS_CHANCE = 0.04
 
@@ -310,43 +309,27 @@
         formed = planner.form(free, engine, needs, 0)
         taken = {member for f in formed for member in f.members}
         left = [item for item in free if item not in taken]
-        short = {
-            name: need for name, need in needs.items() if need.above(SHORT)
+        pressing = {
+            name: need
+            for name, need in needs.items()
+            if need.above(planner.PRESSING)
         }
-        if short:
+        if pressing:
+            # What is warm for a model that needs it is not loaded anew.
+            idle = [
+                item
+                for item in left
+                if not any(
+                    needs[model].above(ENOUGH)
+                    for model in item.worker.staged
+                    if model in needs and model not in pressing
+                )
+            ]
             formed += planner.form(
-                self._idle(left, needs, short),
-                engine,
-                short,
-                self.capacity.loads_left(engine),
+                idle, engine, pressing, self.capacity.loads_left(engine)
             )
         return formed
 
-    def _idle(
-        self,
-        left: list[planner.Free],
-        needs: Mapping[str, planner.Need],
-        short: Mapping[str, planner.Need],
-    ) -> list[planner.Free]:
-        """Returns the workers that may load a model that is short of groups.
-
-        A worker that is warm for another model is taken only if that model
-        is clearly better off; without real pressure, one stays as a spare.
-        """
-        highest = max(need.pressure for need in short.values())
-        idle = [
-            item
-            for item in left
-            if not any(
-                needs[model].pressure * conversion.PRESSURE_FACTOR > highest
-                for model in item.worker.staged
-                if model in needs and model not in short
-            )
-        ]
-        if highest <= planner.PRESSING:
-            return idle[1:]
-        return idle
-
     def _gathering(self, members: list[workers.Worker]) -> bool:
         """Whether a domain's workers are still coming in at the start.
 
--- a/oleanderbay/gateway/planner.py
+++ b/oleanderbay/gateway/planner.py
@@ -76,11 +76,6 @@
     demand: float
     capacity: float
 
-    @property
-    def pressure(self) -> float:
-        """The demand as a share of the capacity."""
-        return self.demand / max(self.capacity, 0.1)
-
     def above(self, pressure: float) -> bool:
         """Whether the demand exceeds a share of the capacity."""
         return self.demand > pressure * self.capacity
