Count only what a converted group has to finish as its cost

Change: the cost is the time in which the closed groups finish; the giving model stays below a pressure of 0.6 in any case.

--- a/oleanderbay/gateway/conversion.py
+++ b/oleanderbay/gateway/conversion.py
@@ -13,6 +13,8 @@
 # and the lower one stays below this without the group. The gap between both
 # limits prevents the reverse change while the demand stays the same.
 LOW_PRESSURE = 0.6
+# Time in which a group that is being closed finishes its requests.
+FINISH_MS = 1_500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,8 +45,9 @@
 
     All are of one model, and as few as the other model's next group takes.
     The gain is the demand above `HIGH_PRESSURE` that the new groups take from
-    the end of their load to the horizon. The cost is the load of the dissolved
-    groups during the load, for which other groups have to make room.
+    the end of their load to the horizon. The cost is what the dissolved groups
+    still have to finish; the model that gives them stays below `LOW_PRESSURE`,
+    so that its other groups have room for what would have come.
 
     Args:
         engine: Figures of the domain's engine.
@@ -80,7 +83,7 @@
             chosen = tuple(able[:count])
             gain = (
                 eased * (horizon_ms - target.load_ms)
-                - sum(group.load for group in chosen) * target.load_ms
+                - sum(group.load for group in chosen) * FINISH_MS
             )
             if gain > best_gain:
                 best, best_gain = chosen, gain
