Split attempts from the pipeline and move only to workers with room

Change: attempt.py and prediction.py are modules of their own; Choice.possible takes the limit again.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -21,6 +21,7 @@
     interfaces,
     load,
     pipeline,
+    prediction,
     state,
     table,
     waiting,
@@ -283,7 +284,7 @@
         now_ms = self.clock.now_ms()
         route = request.kind.route
         free_ms = round(route.target_ms * pipeline.FREE_WAIT_SHARE)
-        answer_ms = pipeline.answer_ms(ENGINE, route, request.call)
+        answer_ms = prediction.answer_ms(ENGINE, route, request.call)
         # The caller states a deadline that counts from its first attempt.
         spent_ms = now_ms - request.arrived_ms
         waiter = waiting.Waiter(
--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -19,10 +19,10 @@
 
 from bench import harness
 from oleanderbay.gateway import (
+    attempt,
     entry,
     feed,
     interfaces,
-    pipeline,
     sending,
     settings,
     workers,
@@ -551,7 +551,7 @@
         pass
 
 
-def _run(gateway: entry.Gateway) -> tuple[pipeline.Run, workers.Worker]:
+def _run(gateway: entry.Gateway) -> tuple[attempt.Run, workers.Worker]:
     current = gateway.known.table
     assert current is not None
     route = current.hosts["host-0.example"][0]
@@ -565,7 +565,7 @@
         model="large",
         arrived_ms=now_ms,
     )
-    run = pipeline.Run(
+    run = attempt.Run(
         call=call,
         route=route,
         service=current.services["chat"],
@@ -623,7 +623,7 @@
         run, chosen = _run(gateway)
         sink = _Sink()
         start_ns = time.process_time_ns()
-        await gateway.listeners.runner._stream(
+        await gateway.listeners.runner.parts.attempts._stream(
             run,
             chosen,
             _Events(count),
--- a/oleanderbay/gateway/choice.py
+++ b/oleanderbay/gateway/choice.py
@@ -105,7 +105,11 @@
         return self.rng.choice(near)
 
     def possible(
-        self, service: table.Service, model: str, tried: Collection[str]
+        self,
+        service: table.Service,
+        model: str,
+        tried: Collection[str],
+        overfill: float = 1.0,
     ) -> bool:
         """Whether `peek` would choose a worker.
 
@@ -119,7 +123,7 @@
             excluded = self.evidence.excluded(worker.id)
             any_good = any_good or not excluded
             if (excluded and excluded_has_room) or not self._room(
-                service, worker, 1.0
+                service, worker, overfill
             ):
                 continue
             if not excluded:
--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -10,6 +10,7 @@
 import structlog
 
 from oleanderbay.gateway import (
+    attempt,
     budget,
     choice,
     demand,
@@ -142,24 +143,7 @@
         self.listeners = listener.Listeners(
             config,
             self.known,
-            pipeline.Pipeline(
-                pipeline.Parts(
-                    known=self.known,
-                    waiting=self.waiting,
-                    choices=self.choices,
-                    loads=self.loads,
-                    evidence=self.evidence,
-                    retries=self.retries,
-                    demand=self.demand,
-                    sender=self.sender,
-                    translator=translator,
-                    clock=self.clock,
-                    rng=self.rng,
-                    max_answer_bytes=config.workers.max_answer_bytes,
-                    max_event_bytes=config.workers.max_event_bytes,
-                    telemetry=self.telemetry,
-                )
-            ),
+            self._pipeline(translator),
             translator,
             self.clock,
             self.ready,
@@ -168,6 +152,36 @@
             self.telemetry,
         )
 
+    def _pipeline(self, translator: interfaces.Translator) -> pipeline.Pipeline:
+        attempts = attempt.Attempts(
+            attempt.Parts(
+                choices=self.choices,
+                evidence=self.evidence,
+                retries=self.retries,
+                sender=self.sender,
+                translator=translator,
+                clock=self.clock,
+                max_answer_bytes=self.config.workers.max_answer_bytes,
+                max_event_bytes=self.config.workers.max_event_bytes,
+                telemetry=self.telemetry,
+            )
+        )
+        return pipeline.Pipeline(
+            pipeline.Parts(
+                known=self.known,
+                waiting=self.waiting,
+                choices=self.choices,
+                loads=self.loads,
+                evidence=self.evidence,
+                retries=self.retries,
+                demand=self.demand,
+                attempts=attempts,
+                clock=self.clock,
+                rng=self.rng,
+                telemetry=self.telemetry,
+            )
+        )
+
     async def on_start(self) -> None:
         """Opens the listeners and starts one task for each peer and feed."""
         await self.sender.start()
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -157,3 +157,12 @@
     )
     assert known.choices.possible(parts.ENGINE, "small", ())
     assert len(looked) == 1
+
+
+def test_a_request_moves_only_to_a_worker_with_room():
+    """Under overload every move would begin work that is late as well."""
+    known = parts.Known()
+    known.add(parts.worker("a", slots=10), parts.worker("b", slots=10))
+    known.loads.told("p", {"a": 7, "b": 7})
+    assert known.choices.possible(parts.PLAIN, "", set())
+    assert not known.choices.possible(parts.PLAIN, "", set(), 0.7)
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -9,6 +9,7 @@
 import pytest
 
 from oleanderbay.gateway import (
+    attempt,
     budget,
     demand,
     interfaces,
@@ -60,21 +61,28 @@
         self.workers = []
         self.sender = sending.Sender(1_000)
         clock = self.known.clock
+        shared = {
+            "choices": self.known.choices,
+            "evidence": self.known.evidence,
+            "retries": budget.RetryBudget(clock, 0.2, 100, 10_000, lambda: 1),
+            "clock": clock,
+        }
+        attempts = attempt.Parts(
+            sender=self.sender,
+            translator=ingress.HeaderTranslator(),
+            max_answer_bytes=1 << 20,
+            max_event_bytes=1 << 10,
+            **shared,
+        )
         self.pipeline = pipeline.Pipeline(
             pipeline.Parts(
                 known=self.known.state,
                 waiting=self.known.waiting,
-                choices=self.known.choices,
                 loads=self.known.loads,
-                evidence=self.known.evidence,
-                retries=budget.RetryBudget(clock, 0.2, 100, 10_000, lambda: 1),
                 demand=demand.Demand(clock),
-                sender=self.sender,
-                translator=ingress.HeaderTranslator(),
-                clock=clock,
+                attempts=attempt.Attempts(attempts),
                 rng=random.Random(1),
-                max_answer_bytes=1 << 20,
-                max_event_bytes=1 << 10,
+                **shared,
             )
         )
 
--- a/tests/gateway/test_telemetry.py
+++ b/tests/gateway/test_telemetry.py
@@ -13,6 +13,7 @@
 from opentelemetry.sdk.trace.export import in_memory_span_exporter
 
 from oleanderbay.gateway import (
+    attempt,
     health,
     interfaces,
     pipeline,
@@ -90,21 +91,28 @@
     sink = mock.AsyncMock(started=False)
     sink.begin.side_effect = lambda *_: setattr(sink, "started", True)
     clock = clocks.ManualClock()
+    shared = {
+        "choices": mock.Mock(),
+        "evidence": health.Health(clock),
+        "retries": mock.Mock(),
+        "clock": clock,
+        "telemetry": made,
+    }
+    attempts = attempt.Parts(
+        sender=mock.Mock(open=mock.AsyncMock(side_effect=exchanges)),
+        translator=mock.Mock(verdict=lambda *_: interfaces.Verdict.SUCCESS),
+        max_answer_bytes=1,
+        max_event_bytes=100,
+        **shared,
+    )
     parts = pipeline.Parts(
         known=SimpleNamespace(table=current),
         waiting=mock.Mock(place=mock.AsyncMock(return_value=WORKER)),
-        choices=mock.Mock(),
         loads=mock.Mock(),
-        evidence=health.Health(clock),
-        retries=mock.Mock(),
         demand=mock.Mock(),
-        sender=mock.Mock(open=mock.AsyncMock(side_effect=exchanges)),
-        translator=mock.Mock(verdict=lambda *_: interfaces.Verdict.SUCCESS),
-        clock=clock,
+        attempts=attempt.Attempts(attempts),
         rng=mock.Mock(),
-        max_answer_bytes=1,
-        max_event_bytes=100,
-        telemetry=made,
+        **shared,
     )
     assert await pipeline.Pipeline(parts).run(CALL, sink) is None
     chat = {"service": "chat"}
@@ -139,9 +147,9 @@
     """A worker that refuses must not look like one that fails."""
     for ended, result in (
         ((None,), "answered"),
-        ((pipeline.Failed("", ran=True, arrived=True),), "failed"),
-        ((pipeline.Failed("", ran=False, arrived=True),), "refused"),
-        ((pipeline.Failed("", ran=False, arrived=False),), "not_connected"),
+        ((attempt.Failed("", ran=True, arrived=True),), "failed"),
+        ((attempt.Failed("", ran=False, arrived=True),), "refused"),
+        ((attempt.Failed("", ran=False, arrived=False),), "not_connected"),
         ((), "cancelled"),
     ):
         with made.attempt("chat", "w1") as seen:
