Share the reading of settings files and hop-by-hop headers

Change: process/settings_text.py and connection/hops.py; several Connection headers are all heeded now on the entries' path too.

--- a/oleanderbay/cli/gateway.py
+++ b/oleanderbay/cli/gateway.py
@@ -43,7 +43,8 @@
     try:
         config = settings.load(pathlib.Path(args.settings))
     except settings.SettingsError as error:
-        print(f"{args.settings}: {error}", file=sys.stderr)
+        for mistake in error.mistakes:
+            print(f"{args.settings}: {mistake}", file=sys.stderr)
         return codes.EXIT_USAGE
     logs.configure(config.logging.level)
     _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/oleanderbay/connection/http.py
+++ b/oleanderbay/connection/http.py
@@ -1,7 +1,7 @@
 """HTTP towards callers: hop-by-hop headers, bodies and answers."""
 
 import json
-from collections.abc import AsyncIterator, Iterable, Mapping
+from collections.abc import AsyncIterator, Mapping
 from typing import Any
 
 import multidict
@@ -10,20 +10,6 @@
 from oleanderbay.connection import caller
 from oleanderbay.request import outcome
 
-# RFC 9110, section 7.6.1, and the older names still in use.
-HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
 # What this system says itself; a caller can't say it to an upstream.
 OWN = frozenset(
     name.lower()
@@ -48,25 +34,6 @@
     """The caller went away in the middle of its request body."""
 
 
-def end_to_end(
-    headers: Mapping[str, str], drop: Iterable[str] = ()
-) -> multidict.CIMultiDict[str]:
-    """Returns the headers that a hop passes on.
-
-    Args:
-        headers: Headers as received.
-        drop: Lower-case names that are not passed on either.
-    """
-    dropped = HOP_BY_HOP | set(drop)
-    for token in headers.get("Connection", "").split(","):
-        dropped = dropped | {token.strip().lower()}
-    kept: multidict.CIMultiDict[str] = multidict.CIMultiDict()
-    for name, value in headers.items():
-        if name.lower() not in dropped:
-            kept.add(name, value)
-    return kept
-
-
 async def read_body(request: web.BaseRequest, max_bytes: int) -> bytes:
     """Reads a request body into memory.
 
--- a/oleanderbay/gateway/settings.py
+++ b/oleanderbay/gateway/settings.py
@@ -4,23 +4,9 @@
 import pathlib
 from typing import Any
 
-import json5
+from oleanderbay.process import checker, settings_text
 
-from oleanderbay.process import checker
-
-MAX_FILE_BYTES = 1_048_576
-
-
-class SettingsError(Exception):
-    """The settings can't be used.
-
-    Attributes:
-        mistakes: Every mistake that was found.
-    """
-
-    def __init__(self, mistakes: tuple[checker.Mistake, ...]) -> None:
-        super().__init__("; ".join(str(mistake) for mistake in mistakes))
-        self.mistakes = mistakes
+SettingsError = settings_text.SettingsError
 
 
 def _field(
@@ -233,14 +219,7 @@
     Raises:
         SettingsError: The file can't be read or holds mistakes.
     """
-    try:
-        with path.open(encoding="utf-8") as file:
-            text = file.read(MAX_FILE_BYTES)
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(
-            (checker.Mistake("(file)", 0, str(error), "a readable file"),)
-        ) from error
-    return parse(text)
+    return parse(settings_text.read(path))
 
 
 def parse(text: str) -> Settings:
@@ -249,14 +228,8 @@
     Raises:
         SettingsError: With every mistake of the text.
     """
-    try:
-        tree = json5.loads(text, allow_duplicate_keys=False)
-    except (ValueError, RecursionError) as error:
-        raise SettingsError(
-            (checker.Mistake("(file)", 0, str(error), "JSON with comments"),)
-        ) from error
     check_run = checker.Checker(text)
-    checked = check_run.section(Settings, tree, ())
+    checked = check_run.section(Settings, settings_text.parse(text), ())
     if checked is not None:
         check_run.receiver(checked.telemetry)
     if check_run.mistakes:
--- a/oleanderbay/platform/ingress.py
+++ b/oleanderbay/platform/ingress.py
@@ -5,23 +5,10 @@
 import multidict
 from aiohttp import web
 
+from oleanderbay.connection import hops
 from oleanderbay.gateway import interfaces, table, workers
 from oleanderbay.platform import names
 
-# RFC 9110, section 7.6.1, and the older names still in use.
-HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
 # Headers of a caller that the gateway consumes or sets itself.
 OWN = frozenset(
     name.lower()
@@ -60,7 +47,7 @@
                 method=request.method,
                 host=given.get("Host", "").lower(),
                 target=request.raw_path,
-                headers=_end_to_end(given, OWN),
+                headers=hops.end_to_end(given, OWN),
                 body=body,
                 key=_key(given.get("Authorization", "")),
                 patience_ms=min(max(0, patience_ms), MAX_DEADLINE_MS),
@@ -123,23 +110,7 @@
         self, headers: "multidict.CIMultiDictProxy[str]"
     ) -> multidict.CIMultiDict[str]:
         """Returns the headers that are passed on to the caller."""
-        return _end_to_end(headers, frozenset(("content-length",)))
-
-
-def _end_to_end(
-    headers: "multidict.CIMultiDictProxy[str]", also: frozenset[str]
-) -> multidict.CIMultiDict[str]:
-    dropped = HOP_BY_HOP | also
-    named = headers.getall("Connection", ())
-    if named:
-        dropped = dropped | {
-            token.strip().lower() for v in named for token in v.split(",")
-        }
-    kept: multidict.CIMultiDict[str] = multidict.CIMultiDict()
-    for name, value in headers.items():
-        if name.lower() not in dropped:
-            kept.add(name, value)
-    return kept
+        return hops.end_to_end(headers, frozenset(("content-length",)))
 
 
 def _key(authorization: str) -> str | None:
--- a/oleanderbay/process/callers.py
+++ b/oleanderbay/process/callers.py
@@ -10,7 +10,7 @@
 import structlog
 from aiohttp import web
 
-from oleanderbay.connection import caller, http
+from oleanderbay.connection import caller, hops, http
 from oleanderbay.process import addresses, interfaces, watch
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import settings as settings_module
@@ -217,7 +217,7 @@
             return _not_found("this service is not a plain one")
         if request.method == "CONNECT":
             return caller.bad_request("tunnels aren't offered")
-        headers = http.end_to_end(
+        headers = hops.end_to_end(
             request.headers, drop=http.OWN | {"host", "expect", "traceparent"}
         )
         return self._call(
--- a/oleanderbay/process/settings.py
+++ b/oleanderbay/process/settings.py
@@ -2,27 +2,12 @@
 
 import dataclasses
 import pathlib
-import re
 from collections.abc import Iterator
 from typing import Any, get_type_hints
 
-import json5
+from oleanderbay.process import checker, settings_text
 
-from oleanderbay.process import checker
-
-MAX_FILE_BYTES = 1_048_576
-
-
-class SettingsError(Exception):
-    """The settings can't be used.
-
-    Attributes:
-        mistakes: Every mistake that was found, in file order.
-    """
-
-    def __init__(self, mistakes: tuple[checker.Mistake, ...]) -> None:
-        super().__init__("\n".join(str(mistake) for mistake in mistakes))
-        self.mistakes = mistakes
+SettingsError = settings_text.SettingsError
 
 
 def _field(
@@ -238,21 +223,7 @@
     Raises:
         SettingsError: The file can't be read or holds mistakes.
     """
-    try:
-        if path.stat().st_size > MAX_FILE_BYTES:
-            raise SettingsError(
-                (_whole("a larger file", f"at most {MAX_FILE_BYTES} bytes"),)
-            )
-        text = path.read_text(encoding="utf-8")
-    except OSError as error:
-        raise SettingsError(
-            (_whole(error.strerror or "an error", "a readable file"),)
-        ) from error
-    except UnicodeDecodeError as error:
-        raise SettingsError(
-            (_whole(f"byte {error.start} is not UTF-8", "UTF-8 text"),)
-        ) from error
-    return parse(text)
+    return parse(settings_text.read(path))
 
 
 def parse(text: str) -> Settings:
@@ -261,21 +232,7 @@
     Raises:
         SettingsError: With every mistake of the text.
     """
-    try:
-        tree = json5.loads(text, allow_duplicate_keys=False)
-    except (ValueError, RecursionError) as error:
-        line = re.search(r":(\d+)", str(error))
-        raise SettingsError(
-            (
-                checker.Mistake(
-                    "(file)",
-                    int(line[1]) if line else 0,
-                    str(error) or type(error).__name__,
-                    "JSON with comments is allowed",
-                ),
-            )
-        ) from error
-    return check(tree, text)
+    return check(settings_text.parse(text), text)
 
 
 def check(tree: Any, text: str = "") -> Settings:
@@ -300,10 +257,6 @@
     return checked
 
 
-def _whole(found: str, allowed: str) -> checker.Mistake:
-    return checker.Mistake("(file)", 0, found, f"{allowed} is allowed")
-
-
 def _relations(settings: Settings, check_run: checker.Checker) -> None:
     """Checks what no single value shows."""
     check_run.receiver(settings.telemetry)
--- a/oleanderbay/request/delivery.py
+++ b/oleanderbay/request/delivery.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from typing import Protocol
 
-from oleanderbay.connection import http
+from oleanderbay.connection import hops, http
 from oleanderbay.connection import upstream as connections
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces, telemetry, watch
@@ -160,7 +160,7 @@
     ) -> attempt.Failure | None:
         call = run.call
         self._first_byte(run)
-        headers = http.end_to_end(exchange.headers, drop=http.OWN)
+        headers = hops.end_to_end(exchange.headers, drop=http.OWN)
         length = exchange.response.content_length
         if call.method == "HEAD" or exchange.status in (204, 304):
             await sink.whole(exchange.status, headers, b"")
--- a/tests/process/test_callers.py
+++ b/tests/process/test_callers.py
@@ -4,10 +4,11 @@
 import json
 
 import hypothesis
+import multidict
 import pytest
 from hypothesis import strategies
 
-from oleanderbay.connection import caller, http
+from oleanderbay.connection import caller, hops, http
 from oleanderbay.process import clock as clocks
 from oleanderbay.request import outcome
 from tests import serving_path
@@ -223,17 +224,19 @@
 
 async def test_hop_by_hop_headers_stay_on_their_hop():
     """RFC 9110: they speak of one connection only."""
-    kept = http.end_to_end(
-        {
-            "Connection": "close, X-One",
-            "X-One": "1",
-            "Keep-Alive": "1",
-            "Transfer-Encoding": "chunked",
-            "TE": "trailers",
-            "Upgrade": "h2c",
-            "X-Two": "2",
-            "Oleanderbay-Attempt": "9",
-        },
+    kept = hops.end_to_end(
+        multidict.CIMultiDict(
+            {
+                "Connection": "close, X-One",
+                "X-One": "1",
+                "Keep-Alive": "1",
+                "Transfer-Encoding": "chunked",
+                "TE": "trailers",
+                "Upgrade": "h2c",
+                "X-Two": "2",
+                "Oleanderbay-Attempt": "9",
+            }
+        ),
         drop=http.OWN,
     )
     assert dict(kept) == {"X-Two": "2"}
