Remove a call and a field that nothing uses

Cause: the read-through found HttpStore.create_domains_topic (the first join creates the topic) and Call.chunked without a caller. Change: both are gone; behaviour is unchanged.

--- a/oleanderbay/gateway/interfaces.py
+++ b/oleanderbay/gateway/interfaces.py
@@ -236,7 +236,6 @@
         target: Path and query, as sent.
         headers: Headers that are passed on to a worker.
         body: The whole body; None if the request has none.
-        chunked: Whether the body came without a stated length.
         key: Key of the caller's team; None if there is none.
         patience_ms: Time that the caller waits; 0 if it did not say.
         model: Model that is asked for; empty for a plain service.
@@ -252,7 +251,6 @@
     target: str
     headers: multidict.CIMultiDict[str]
     body: bytes | None = None
-    chunked: bool = False
     key: str | None = None
     patience_ms: int = 0
     model: str = ""
--- a/oleanderbay/platform/store.py
+++ b/oleanderbay/platform/store.py
@@ -144,23 +144,6 @@
             {"group": names.OWNERS_GROUP, "member": member},
         )
 
-    async def create_domains_topic(self) -> None:
-        """Makes the topic whose partitions stand for domains.
-
-        A topic is created by its first append.
-
-        Raises:
-            StoreError: It may not exist.
-        """
-        status, _ = await self._call(
-            "POST",
-            "/log-append",
-            {"topic": names.DOMAINS_TOPIC, "part": "0"},
-            _LENGTH.pack(1) + b"d",
-            self.timeout_ms,
-        )
-        _check(status, "append")
-
     async def _json(
         self,
         method: str,
