--- a/bench/harness.py
+++ b/bench/harness.py
@@ -15,10 +15,18 @@
 NOT_BENCHMARKS = frozenset(
     (
         "__main__",
+        "admission_sites",
+        "admission_traffic",
         "binary",
         "failure_declarations",
         "failure_fleet",
         "failures",
+        "gateway_heartbeats",
+        "gateway_keeper",
+        "gateway_parts",
+        "gateway_records",
+        "gateway_requests",
+        "gateway_store",
         "harness",
         "processes",
         "report",
