Count standing groups once a step and move the allocation out of the keeper

For each owned domain and step the keeper visited the members of all groups to count the capacity, so that a step with all domains owned grew with domains times workers. Standings now keeps which groups are whole by their records until the records change, and takes lost and closed groups out once a step. Workers by domain are kept for a revision as well.

--- a/oleanderbay/gateway/capacity.py
+++ b/oleanderbay/gateway/capacity.py
@@ -1,9 +1,18 @@
 """Capacity by model, and the loads that may begin."""
 
 import collections
+import dataclasses
 from collections.abc import Iterable, Mapping
 
-from oleanderbay.gateway import demand, planner, table, workers
+from oleanderbay.gateway import (
+    demand,
+    dissolution,
+    health,
+    planner,
+    state,
+    table,
+    workers,
+)
 from oleanderbay.gateway import settings as settings_module
 from oleanderbay.process import clock as clocks
 
@@ -14,6 +23,78 @@
 Key = tuple[str, int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """The groups that serve or will serve, at one moment.
+
+    Attributes:
+        models: Model of each of them.
+        counts: Their number by model.
+    """
+
+    models: Mapping[Key, str]
+    counts: Mapping[str, int]
+
+
+class Standings:
+    """Counts the groups that serve or will serve.
+
+    What the records say is gone through once for each change of them. Losses
+    and closed groups are not in the records and are taken out of each count.
+    """
+
+    def __init__(
+        self,
+        known: state.State,
+        evidence: health.Health,
+        ended: dissolution.Dissolution,
+    ) -> None:
+        self.known = known
+        self.evidence = evidence
+        self.dissolution = ended
+        self._recorded: dict[table.Engine, dict[Key, workers.Group]] = {}
+        self._revision = -1
+
+    def count(self, engine: table.Engine) -> Standing:
+        """Returns the groups of an engine's models."""
+        any_lost = self.evidence.any_lost()
+        models = {
+            key: group.model
+            for key, group in self._of(engine).items()
+            if key not in self.dissolution.closed
+            and not (any_lost and self._lost(group))
+        }
+        return Standing(models, collections.Counter(models.values()))
+
+    def _of(self, engine: table.Engine) -> Mapping[Key, workers.Group]:
+        if self._revision != self.known.revision:
+            self._recorded = {}
+            self._revision = self.known.revision
+        if engine not in self._recorded:
+            self._recorded[engine] = {
+                key: group
+                for key, group in self.known.groups().items()
+                if _stands(engine, group)
+            }
+        return self._recorded[engine]
+
+    def _lost(self, group: workers.Group) -> bool:
+        return any(
+            self.evidence.is_lost(worker.id, worker.born_ms)
+            for worker in group.members.values()
+        )
+
+
+def _stands(engine: table.Engine, group: workers.Group) -> bool:
+    """Whether a group is whole and stays, by its members' records."""
+    model = engine.model(group.model)
+    return (
+        model is not None
+        and group.complete(model.size)
+        and not any(worker.draining for worker in group.members.values())
+    )
+
+
 class Capacity:
     """Counts loads and planned conversions over all gateways.
 
@@ -84,9 +165,9 @@
     def needs(
         self,
         service: table.Service,
-        standing: Iterable[workers.Group],
+        standing: Standing,
         forming: Iterable[str],
-        local: Iterable[workers.Group],
+        local: Iterable[Key],
     ) -> dict[str, planner.Need]:
         """Returns demand and capacity of each model of a service.
 
@@ -94,15 +175,17 @@
             service: The service.
             standing: Its groups that serve or will serve.
             forming: Models of groups that no record shows yet.
-            local: The groups of `standing` in the domain that is planned.
+            local: Groups in the domain that is planned.
         """
         assert service.engine is not None
         slots = service.engine.slots
-        groups = collections.Counter(group.model for group in standing)
+        groups = collections.Counter(standing.counts)
         groups.update(forming)
         for planned in (self.planned(), *self.peer_planned.values()):
             groups.update(planned)
-        here = collections.Counter(group.model for group in local)
+        here = collections.Counter(
+            standing.models[key] for key in local if key in standing.models
+        )
         return self.demand.needs(
             service,
             {name: float(count * slots) for name, count in groups.items()},
--- a/oleanderbay/gateway/formation.py
+++ b/oleanderbay/gateway/formation.py
@@ -1,6 +1,7 @@
 """Forms groups: joins their members and opens them."""
 
 import asyncio
+from collections.abc import Container
 
 import structlog
 
@@ -87,6 +88,14 @@
             self.busy[member.worker.id] = formation.model.name
         self.tasks.start(key, self._form(key, formation))
 
+    def unrecorded(self, groups: Container[Key]) -> list[str]:
+        """Returns the models of groups that no record shows yet."""
+        return [
+            model.name
+            for key, model in self.forming.items()
+            if key not in groups
+        ]
+
     def adopting(self, key: Key) -> bool:
         """Whether the formation of an earlier owner is carried on."""
         return self.tasks.running(("adopt", key))
--- a/oleanderbay/gateway/keeper.py
+++ b/oleanderbay/gateway/keeper.py
@@ -1,14 +1,12 @@
 """Keeps the groups of the domains that this gateway owns."""
 
-import collections
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 import structlog
 
 from oleanderbay.gateway import (
-    affinity,
-    conversion,
+    allocation,
     demand,
     dissolution,
     duties,
@@ -32,10 +30,6 @@
 STEP_MS = 100
 # Added to a heartbeat before records count as current after a gap.
 SETTLE_MS = 300
-# Pressure from which the warm workers of a model are kept for it.
-ENOUGH = 0.4
-# How often the owner of a domain considers to convert a group.
-SURPLUS_CHANCE = 0.04
 
 Key = tuple[str, int]
 
@@ -49,6 +43,8 @@
         capacity: Capacity and loads, over all gateways.
         formations: Groups that are being formed.
         dissolution: Groups that are being closed.
+        standing: Counts the groups that serve or will serve.
+        allocation: Decides what a domain's workers are used for.
     """
 
     def __init__(
@@ -66,16 +62,13 @@
         name: str,
         telemetry: telemetry_module.Telemetry = telemetry_module.OFF,
     ) -> None:
-        self.telemetry = telemetry
         self.known = known
         self.steady_ms = steady_ms
         self.evidence = evidence
         self.owner = owner
-        self.loads = loads
         self.demand = needs
         self.config = config
         self.clock = clock
-        self.rng = rng
         self.tasks = tasks_module.Tasks(ordering.OrderError)
         self.capacity = capacity_module.Capacity(clock, config, needs)
         self.inspection = inspection.Inspection(
@@ -105,6 +98,18 @@
             telemetry,
             name,
         )
+        self.standing = capacity_module.Standings(
+            known, evidence, self.dissolution
+        )
+        self.allocation = allocation.Allocation(
+            self.capacity,
+            self.formations,
+            self.dissolution,
+            loads,
+            needs,
+            rng,
+            telemetry,
+        )
         self._first_seen_ms: dict[str, int] = {}
 
     async def run(self) -> None:
@@ -147,9 +152,6 @@
         engine: table.Engine,
         groups: Mapping[Key, workers.Group],
     ) -> None:
-        domains: dict[str, list[workers.Worker]] = {}
-        for worker in self.known.of_service(service.name):
-            domains.setdefault(worker.domain, []).append(worker)
         for worker in self.known.absent.values():
             if worker.service == service.name and self.owner.owns(
                 f"{service.name}/{worker.domain}"
@@ -158,24 +160,30 @@
                     ("absent", worker.id),
                     self.inspection.check_absent(service, worker),
                 )
-        for domain, members in domains.items():
-            if self.owner.owns(f"{service.name}/{domain}"):
-                self._domain(
-                    service,
-                    engine,
-                    members,
-                    groups,
-                    self._preferred(engine, domain, domains),
-                )
+        domains = self.known.domains(service.name)
+        owned = [
+            domain
+            for domain in domains
+            if self.owner.owns(f"{service.name}/{domain}")
+        ]
+        if not owned:
+            return
+        # Nothing that a step does changes which groups stand: what it starts
+        # runs after it.
+        standing = self.standing.count(engine)
+        for domain in owned:
+            self._domain(service, engine, domain, domains, groups, standing)
 
     def _domain(
         self,
         service: table.Service,
         engine: table.Engine,
-        members: list[workers.Worker],
+        domain: str,
+        domains: Mapping[str, tuple[workers.Worker, ...]],
         groups: Mapping[Key, workers.Group],
-        preferred: table.Model | None,
+        standing: capacity_module.Standing,
     ) -> None:
+        members = domains[domain]
         own = {
             (w.membership.group, w.membership.epoch)
             for w in members
@@ -195,38 +203,25 @@
         ]
         if self._gathering(members):
             return
-        standing = self._standing(engine, groups)
         needs = self.capacity.needs(
-            service,
-            standing.values(),
-            self._unrecorded(groups),
-            [group for key, group in standing.items() if key in own],
+            service, standing, self.formations.unrecorded(groups), own
+        )
+        self.allocation.convert(
+            engine, needs, len(free), [groups[key] for key in own]
         )
-        if self.demand.begun and self.rng.random() < SURPLUS_CHANCE:
-            self._convert(engine, needs, len(free), [groups[k] for k in own])
         if not free:
             return
         log.debug(
             "domain planned",
-            domain=members[0].domain,
+            domain=domain,
             free=len(free),
             needs={
                 name: (round(need.demand, 1), need.capacity)
                 for name, need in needs.items()
             },
         )
-        taken: set[str] = set()
-        for formed in self._formed(engine, free, needs, preferred):
-            self.capacity.begin_loads(formed.loads)
-            self.telemetry.instruments.loads.add(formed.loads)
-            self.formations.begin(formed)
-            taken |= {member.worker.id for member in formed.members}
-        self._stage(
-            engine,
-            needs,
-            [item for item in free if item.worker.id not in taken],
-            preferred,
-        )
+        preferred = self.allocation.preferred(engine, domain, domains)
+        self.allocation.allocate(engine, needs, free, preferred)
 
     def _review(self, engine: table.Engine, group: workers.Group) -> None:
         """Starts what an existing group needs."""
@@ -257,80 +252,7 @@
         ):
             self.formations.adopt(group, model)
 
-    def _preferred(
-        self,
-        engine: table.Engine,
-        domain: str,
-        domains: Mapping[str, list[workers.Worker]],
-    ) -> table.Model | None:
-        """Returns the model that a domain is for.
-
-        Within such a domain each spare and each member of a broken group is
-        warm for every repair. A domain that has workers for a model stays
-        with it; before that, domains are dealt out by the declared shares.
-        """
-        warm = collections.Counter(
-            model
-            for worker in domains[domain]
-            for model in worker.staged.union(worker.models[:1])
-        )
-        warm.update(
-            self.formations.busy[worker.id]
-            for worker in domains[domain]
-            if worker.id in self.formations.busy
-        )
-        if warm:
-            return engine.model(warm.most_common(1)[0][0])
-        if len(domains) < len(engine.models):
-            return None
-        sizes = {
-            name: (members[0].zone, len(members))
-            for name, members in domains.items()
-        }
-        return affinity.assign(engine, sizes).get(domain)
-
-    def _formed(
-        self,
-        engine: table.Engine,
-        free: list[planner.Free],
-        needs: Mapping[str, planner.Need],
-        preferred: table.Model | None,
-    ) -> list[planner.Formation]:
-        """Returns the groups to form now.
-
-        Workers that have to load a model first are staged as spares, so that
-        a later repair takes the time of a warm start. Only a model under
-        pressure gets groups that have to load.
-        """
-        if not self.demand.begun:
-            if preferred is not None:
-                needs = {preferred.name: needs[preferred.name]}
-            return planner.form(free, engine, needs, len(free))
-        formed = planner.form(free, engine, needs, 0)
-        taken = {member for f in formed for member in f.members}
-        left = [item for item in free if item not in taken]
-        pressing = {
-            name: need
-            for name, need in needs.items()
-            if need.above(planner.PRESSING)
-        }
-        if pressing:
-            # What is warm for a model that needs it is not loaded anew.
-            idle = [
-                item
-                for item in left
-                if not any(
-                    needs[model].above(ENOUGH)
-                    for model in item.worker.staged
-                    if model in needs and model not in pressing
-                )
-            ]
-            formed += planner.form(
-                idle, engine, pressing, self.capacity.loads_left(engine)
-            )
-        return formed
-
-    def _gathering(self, members: list[workers.Worker]) -> bool:
+    def _gathering(self, members: Sequence[workers.Worker]) -> bool:
         """Whether a domain's workers are still coming in at the start.
 
         Groups that are formed of the first ones leave no choice of models
@@ -362,93 +284,3 @@
         if key in self.formations.forming or self.formations.adopting(key):
             return False
         return self.dissolution.ended(groups[key])
-
-    def _standing(
-        self, engine: table.Engine, groups: Mapping[Key, workers.Group]
-    ) -> dict[Key, workers.Group]:
-        """Returns the groups that serve or will serve."""
-        found = {}
-        for key, group in groups.items():
-            model = engine.model(group.model)
-            if (
-                model is not None
-                and key not in self.dissolution.closed
-                and group.complete(model.size)
-                and not any(
-                    worker.draining or self.inspection.is_lost(worker)
-                    for worker in group.members.values()
-                )
-            ):
-                found[key] = group
-        return found
-
-    def _unrecorded(self, groups: Mapping[Key, workers.Group]) -> list[str]:
-        """Returns the models of groups that no record shows yet."""
-        return [
-            model.name
-            for key, model in self.formations.forming.items()
-            if key not in groups
-        ]
-
-    def _convert(
-        self,
-        engine: table.Engine,
-        needs: Mapping[str, planner.Need],
-        free: int,
-        groups: list[workers.Group],
-    ) -> None:
-        """Closes a group whose workers a model under pressure needs more.
-
-        Owners of other domains see the same pressures, so each looks only
-        now and then; the next one counts what was begun.
-        """
-        pressing = max(
-            engine.models,
-            key=lambda m: needs[m.name].demand / (needs[m.name].capacity + 1),
-        )
-        if self.capacity.loads_left(engine) < pressing.size:
-            return
-        able = {}
-        for group in groups:
-            key = (group.name, group.epoch)
-            if self.dissolution.closing(key):
-                return
-            if group.open:
-                able[key] = conversion.OpenGroup(
-                    group.name,
-                    group.epoch,
-                    group.model,
-                    self.loads.at(group.members[0].id),
-                )
-        chosen = conversion.surplus(engine, needs, able.values(), free)
-        if not chosen:
-            return
-        self.capacity.plan(pressing.name)
-        for given in chosen:
-            log.info("group converted", group=given.name, model=pressing.name)
-            self.telemetry.group_changed("converted")
-            key = (given.name, given.epoch)
-            self.dissolution.start(
-                next(g for g in groups if (g.name, g.epoch) == key), True
-            )
-
-    def _stage(
-        self,
-        engine: table.Engine,
-        needs: Mapping[str, planner.Need],
-        spare: list[planner.Free],
-        preferred: table.Model | None,
-    ) -> None:
-        """Loads models onto hosts of spare workers that have none."""
-        model = affinity.spare_model(engine, needs, preferred)
-        for item in spare:
-            worker = item.worker
-            if worker.staged or worker.models:
-                continue
-            if self.formations.staged(worker):
-                continue
-            if self.capacity.loads_left(engine) < 1:
-                return
-            self.capacity.begin_loads(1)
-            self.telemetry.instruments.loads.add(1)
-            self.formations.stage(worker, model)
--- a/oleanderbay/gateway/state.py
+++ b/oleanderbay/gateway/state.py
@@ -1,6 +1,6 @@
 """The configuration in force and the fleet of workers."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import structlog
 
@@ -44,6 +44,8 @@
         self._groups_revision = -1
         self._by_service: dict[str, tuple[workers.Worker, ...]] = {}
         self._by_service_revision = -1
+        self._domains: dict[str, Mapping[str, tuple[workers.Worker, ...]]] = {}
+        self._domains_revision = -1
 
     def configuration_changed(self, record: interfaces.KeyedRecord) -> None:
         """Applies a record of the configuration's topic."""
@@ -116,6 +118,20 @@
             self._by_service_revision = self.revision
         return self._by_service.get(name, ())
 
+    def domains(self, service: str) -> Mapping[str, tuple[workers.Worker, ...]]:
+        """Returns the workers of a service by domain."""
+        if self._domains_revision != self.revision:
+            self._domains = {}
+            self._domains_revision = self.revision
+        found = self._domains.get(service)
+        if found is None:
+            by_domain: dict[str, list[workers.Worker]] = {}
+            for worker in self.of_service(service):
+                by_domain.setdefault(worker.domain, []).append(worker)
+            found = {k: tuple(v) for k, v in by_domain.items()}
+            self._domains[service] = found
+        return found
+
     def cold(self, worker: workers.Worker) -> bool:
         """Whether a worker is in a cold start."""
         until_ms = self.cold_until_ms.get(worker.id)
--- /dev/null
+++ b/tests/gateway/test_capacity.py
@@ -0,0 +1,121 @@
+"""Tests of counting the groups that serve."""
+
+import random
+
+import pytest
+
+from oleanderbay.gateway import capacity, dissolution, table, workers
+from tests.gateway import parts
+
+
+def standings(known):
+    """Counts groups; only the closed ones of the dissolution are used."""
+    ended = dissolution.Dissolution.__new__(dissolution.Dissolution)
+    ended.closed = set()
+    return capacity.Standings(known.state, known.evidence, ended), ended
+
+
+def expected(known, ended, engine):
+    """Goes through all groups anew."""
+    found = {}
+    for key, group in known.state.groups().items():
+        model = engine.model(group.model)
+        members = group.members.values()
+        if (
+            model is not None
+            and key not in ended.closed
+            and group.complete(model.size)
+            and not any(w.draining for w in members)
+            and not any(
+                known.evidence.is_lost(w.id, w.born_ms) for w in members
+            )
+        ):
+            found[key] = group.model
+    return found
+
+
+def change(known, ended, rng):
+    name = f"g{rng.randrange(4)}"
+    rank = rng.randrange(2)
+    match rng.choices(range(7), (2, 1, 2, 1, 1, 1, 12))[0]:
+        case 0:
+            known.drop(f"{name}{rank}")
+        case 1:
+            known.evidence.lost[f"{name}{rank}"] = rng.randrange(2)
+        case 2:
+            known.evidence.lost.clear()
+        case 3:
+            ended.closed ^= {(name, 1)}
+        case 4:
+            known.evidence.update_peer("p", (), (), {f"{name}{rank}": 0})
+        case 5:
+            model = table.Model(**{**MODEL, "size": rng.choice((1, 2))})
+            engine = table.Engine(slots=4, models=(model,))
+            service = table.Service(name="chat", health_path="", engine=engine)
+            known.configure(parts.tables(known.offset, services=(service,)))
+        case _:
+            state = rng.choice(("open", "ready", "joining"))
+            known.add(
+                parts.worker(
+                    f"{name}{rank}",
+                    name,
+                    rank,
+                    state,
+                    draining=rng.random() < 0.2,
+                    born_ms=rng.randrange(2),
+                )
+            )
+
+
+MODEL = {
+    "name": "small",
+    "size": 2,
+    "share": 1.0,
+    "pace": 1.0,
+    "load_ms": 1,
+    "warm_ms": 1,
+}
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_counts_follow_each_change(seed):
+    """A count kept too long would plan for groups that are gone."""
+    rng = random.Random(seed)
+    known = parts.Known()
+    counted, ended = standings(known)
+    seen = set()
+    for _ in range(200):
+        change(known, ended, rng)
+        engine = known.state.table.services["chat"].engine
+        found = counted.count(engine)
+        assert found.models == expected(known, ended, engine)
+        assert sum(found.counts.values()) == len(found.models)
+        seen.add(len(found.models))
+    assert len(seen) > 2
+
+
+def test_records_are_gone_through_once_for_each_change(monkeypatch):
+    """Each step at the owner would visit all members of all groups."""
+    known = parts.Known()
+    known.add(
+        *(
+            parts.worker(f"g{n}{r}", f"g{n}", r)
+            for n in range(9)
+            for r in (0, 1)
+        )
+    )
+    counted, _ = standings(known)
+    looked = []
+    complete = workers.Group.complete
+    monkeypatch.setattr(
+        workers.Group,
+        "complete",
+        lambda group, size: looked.append(group.name) or complete(group, size),
+    )
+    for _ in range(5):
+        assert counted.count(parts.ENGINE.engine).counts == {"small": 9}
+    assert len(looked) == 9
+    known.drop("g01")
+    assert counted.count(parts.ENGINE.engine).counts == {"small": 9}
+    known.state.forget("g01")
+    assert counted.count(parts.ENGINE.engine).counts == {"small": 8}
