Keep the spares of a domain at the first request

Cause: between the first request and the first sample of the demand, the declared shares and the domain's own capacity stood for the measured ones, while the step already planned as after the first request. A domain that is for one model had no capacity of the other, so that model seemed under pressure and took all spares of the domain with loads of 12 s.

Change: the fleet's capacity and the measured demand count from the first request on.

--- a/oleanderbay/gateway/demand.py
+++ b/oleanderbay/gateway/demand.py
@@ -89,7 +89,7 @@
         models = service.engine.models
         measured = {m.name: self.mean(m.name) for m in models}
         total = sum(measured.values())
-        if not self.begun or total <= 0:
+        if not self.begun:
             return {
                 m.name: planner.Need(
                     affinity.slots_share(m), local_capacity.get(m.name, 0.0)
