Load the other model ahead and convert groups that need no load

A conversion closed groups of the other model first and then loaded for 16 s; members of converted groups often formed a group of their former model again, since the planned group counted as capacity; several owners converted at the same moment; and domains gave their last warm spares to the model that had room.

Change: before the first request, when loads are short and not limited, workers that serve load the other model onto their hosts. A conversion closes only groups whose members need no load and otherwise loads first, while they serve. Their members are reserved for the model, one conversion at a time is begun, and pressures count the capacity that is left after the loss of one group, so that the model with fewer groups is short first. Free workers go to another model than their domain's only if that one lacks more.

--- a/oleanderbay/gateway/allocation.py
+++ b/oleanderbay/gateway/allocation.py
@@ -14,6 +14,8 @@
     formation,
     load,
     planner,
+    reservation,
+    staging,
     table,
     workers,
 )
@@ -29,7 +31,12 @@
 
 
 class Allocation:
-    """Decides for one domain at a time and starts what was decided."""
+    """Decides for one domain at a time and starts what was decided.
+
+    Attributes:
+        reservations: Members of converted groups.
+        staging: Loads onto hosts.
+    """
 
     def __init__(
         self,
@@ -39,8 +46,11 @@
         loads: load.Load,
         needs: demand.Demand,
         rng: random.Random,
+        reservations: reservation.Reservations,
         telemetry: telemetry_module.Telemetry,
     ) -> None:
+        self.staging = staging.Staging(capacity, formations, telemetry)
+        self.reservations = reservations
         self.capacity = capacity
         self.formations = formations
         self.dissolution = closing
@@ -53,18 +63,25 @@
         self,
         engine: table.Engine,
         needs: Mapping[str, planner.Need],
-        free: int,
+        free: list[planner.Free],
         groups: list[workers.Group],
     ) -> None:
-        """Considers now and then to convert a group of a domain.
+        """Considers now and then to convert groups of a domain.
+
+        Owners of other domains see the same pressures, so each looks only now
+        and then, and one conversion at a time is begun.
 
         Args:
             engine: Figures of the domain's engine.
             needs: Demand and capacity by model.
-            free: Number of the domain's free workers.
-            groups: The domain's groups.
+            free: The domain's free workers.
+            groups: The domain's groups that stand.
         """
-        if self.demand.begun and self.rng.random() < SURPLUS_CHANCE:
+        if (
+            self.demand.begun
+            and self.rng.random() < SURPLUS_CHANCE
+            and not self.capacity.converting()
+        ):
             self._convert(engine, needs, free, groups)
 
     def allocate(
@@ -72,6 +89,7 @@
         engine: table.Engine,
         needs: Mapping[str, planner.Need],
         free: list[planner.Free],
+        groups: list[workers.Group],
         preferred: table.Model | None,
     ) -> None:
         """Begins groups of free workers and stages models on the others.
@@ -80,6 +98,7 @@
             engine: Figures of the domain's engine.
             needs: Demand and capacity by model.
             free: The domain's free workers.
+            groups: The domain's groups that stand.
             preferred: The model that the domain is for.
         """
         taken: set[str] = set()
@@ -88,12 +107,11 @@
             self.telemetry.instruments.loads.add(formed.loads)
             self.formations.begin(formed)
             taken |= {member.worker.id for member in formed.members}
-        self._stage(
-            engine,
-            needs,
-            [item for item in free if item.worker.id not in taken],
-            preferred,
-        )
+        left = [item for item in free if item.worker.id not in taken]
+        self.staging.spares(engine, needs, left, preferred)
+        if not self.demand.begun and not taken:
+            # Loads are short and not limited before the first request.
+            self.staging.alternatives(engine, groups)
 
     def preferred(
         self,
@@ -144,9 +162,19 @@
             if preferred is not None:
                 needs = {preferred.name: needs[preferred.name]}
             return planner.form(free, engine, needs, len(free))
-        formed = planner.form(free, engine, needs, 0)
+        reserved, others = self.reservations.split(free)
+        formed = []
+        for name, items in reserved.items():
+            formed += self._converted(engine, name, items, others)
         taken = {member for f in formed for member in f.members}
-        left = [item for item in free if item not in taken]
+        formed += planner.form(
+            [item for item in others if item not in taken],
+            engine,
+            _open_to(engine, needs, preferred),
+            0,
+        )
+        taken = {member for f in formed for member in f.members}
+        left = [item for item in others if item not in taken]
         pressing = {
             name: need
             for name, need in needs.items()
@@ -168,65 +196,85 @@
             )
         return formed
 
+    def _converted(
+        self,
+        engine: table.Engine,
+        name: str,
+        items: list[planner.Free],
+        others: list[planner.Free],
+    ) -> list[planner.Formation]:
+        """Returns the groups of workers that are reserved for a model."""
+        model = engine.model(name)
+        if model is None:
+            return []
+        if len(items) < model.size:
+            items = items + [
+                item for item in others if not planner.needs_load(item, model)
+            ]
+        # The planned group counts as capacity already.
+        return planner.form(items, engine, {name: planner.Need(1.0, 0.0)}, 0)
+
     def _convert(
         self,
         engine: table.Engine,
         needs: Mapping[str, planner.Need],
-        free: int,
+        free: list[planner.Free],
         groups: list[workers.Group],
     ) -> None:
-        """Closes a group whose workers a model under pressure needs more.
-
-        Owners of other domains see the same pressures, so each looks only
-        now and then; the next one counts what was begun.
-        """
-        pressing = max(
-            engine.models,
-            key=lambda m: needs[m.name].demand / (needs[m.name].capacity + 1),
+        """Closes groups whose workers a model under pressure needs more."""
+        _, others = self.reservations.split(free)
+        chosen = conversion.surplus(
+            engine,
+            needs,
+            [self._open_group(group) for group in groups if group.open],
+            {
+                model.name: sum(
+                    not planner.needs_load(item, model) for item in others
+                )
+                for model in engine.models
+            },
         )
-        if self.capacity.loads_left(engine) < pressing.size:
+        if chosen is None:
             return
-        able = {}
-        for group in groups:
-            key = (group.name, group.epoch)
-            if self.dissolution.closing(key):
-                return
-            if group.open:
-                able[key] = conversion.OpenGroup(
-                    group.name,
-                    group.epoch,
-                    group.model,
-                    self.loads.at(group.members[0].id),
-                )
-        chosen = conversion.surplus(engine, needs, able.values(), free)
-        if not chosen:
+        if not chosen.warm:
+            self.staging.members(engine, chosen, groups)
             return
-        self.capacity.plan(pressing.name)
-        for given in chosen:
-            log.info("group converted", group=given.name, model=pressing.name)
-            self.telemetry.group_changed("converted")
-            key = (given.name, given.epoch)
-            self.dissolution.start(
-                next(g for g in groups if (g.name, g.epoch) == key), True
+        self.capacity.plan(chosen.model.name)
+        by_key = {(group.name, group.epoch): group for group in groups}
+        for given in chosen.groups:
+            log.info(
+                "group converted", group=given.name, model=chosen.model.name
             )
+            self.telemetry.group_changed("converted")
+            self.reservations.add(given.name, given.epoch, chosen.model)
+            self.dissolution.start(by_key[given.name, given.epoch], True)
 
-    def _stage(
-        self,
-        engine: table.Engine,
-        needs: Mapping[str, planner.Need],
-        spare: list[planner.Free],
-        preferred: table.Model | None,
-    ) -> None:
-        """Loads models onto hosts of spare workers that have none."""
-        model = affinity.spare_model(engine, needs, preferred)
-        for item in spare:
-            worker = item.worker
-            if worker.staged or worker.models:
-                continue
-            if self.formations.staged(worker):
-                continue
-            if self.capacity.loads_left(engine) < 1:
-                return
-            self.capacity.begin_loads(1)
-            self.telemetry.instruments.loads.add(1)
-            self.formations.stage(worker, model)
+    def _open_group(self, group: workers.Group) -> conversion.OpenGroup:
+        return conversion.OpenGroup(
+            group.name,
+            group.epoch,
+            group.model,
+            self.loads.at(group.members[0].id),
+            frozenset.intersection(*(w.staged for w in group.members.values())),
+        )
+
+
+def _open_to(
+    engine: table.Engine,
+    needs: Mapping[str, planner.Need],
+    preferred: table.Model | None,
+) -> Mapping[str, planner.Need]:
+    """Returns the needs that a domain's free workers may serve.
+
+    Workers that are too few for a group of the domain's own model wait for
+    one more, unless the other model lacks more.
+    """
+    if preferred is None or preferred.name not in needs:
+        return needs
+    own = conversion.pressure(needs[preferred.name], engine.slots)
+    return {
+        name: need
+        for name, need in needs.items()
+        if name == preferred.name
+        or conversion.pressure(need, engine.slots) > own
+    }
--- a/oleanderbay/gateway/capacity.py
+++ b/oleanderbay/gateway/capacity.py
@@ -62,6 +62,7 @@
             key: group.model
             for key, group in self._of(engine).items()
             if key not in self.dissolution.closed
+            and not self.dissolution.closing(key)
             and not (any_lost and self._lost(group))
         }
         return Standing(models, collections.Counter(models.values()))
@@ -148,6 +149,10 @@
         self._planned = [item for item in self._planned if item[0] > now_ms]
         return dict(collections.Counter(model for _, model in self._planned))
 
+    def converting(self) -> bool:
+        """Whether any gateway has begun a conversion lately."""
+        return bool(self.planned()) or any(self.peer_planned.values())
+
     def update_peer(
         self, peer_id: str, loads: int, planned: Mapping[str, int]
     ) -> None:
--- a/oleanderbay/gateway/conversion.py
+++ b/oleanderbay/gateway/conversion.py
@@ -6,15 +6,14 @@
 
 from oleanderbay.gateway import planner, table
 
-# A group is dissolved only if the pressures differ by this factor,
-PRESSURE_FACTOR = 2.0
-# the higher one is above this,
+# A model below this pressure needs no further group.
 HIGH_PRESSURE = 0.7
-# and the lower one stays below this without the group. The gap between both
-# limits prevents the reverse change while the demand stays the same.
-LOW_PRESSURE = 0.6
-# Time in which a group that is being closed finishes its requests.
-FINISH_MS = 1_500
+# The highest pressure has to fall by this factor, so that demand that stays
+# the same never causes the reverse change.
+EASE_FACTOR = 1.2
+# Part of the capacity that counts after the loss of a group at least. A model
+# with one group would otherwise have the pressure of a model without any.
+LEAST_LEFT = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,89 +25,116 @@
         epoch: Its epoch.
         model: Name of its model.
         load: Requests in flight at it.
+        warm: Models that all its members join without a load.
     """
 
     name: str
     epoch: int
     model: str
     load: int
+    warm: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conversion:
+    """Groups that give their workers to a model with too few groups.
+
+    Attributes:
+        model: The model that gets the workers.
+        groups: The groups to dissolve, all of one other model.
+        warm: Whether their members join the model without a load.
+    """
+
+    model: table.Model
+    groups: tuple[OpenGroup, ...]
+    warm: bool
 
 
 def surplus(
     engine: table.Engine,
     needs: Mapping[str, planner.Need],
     groups: Iterable[OpenGroup],
-    free: int = 0,
-    horizon_ms: int = planner.HORIZON_MS,
-) -> tuple[OpenGroup, ...]:
-    """Returns the groups to dissolve for a model with too few, if any.
+    free: Mapping[str, int],
+) -> Conversion | None:
+    """Returns the conversion that lowers the highest pressure most, if any.
 
-    All are of one model, and as few as the other model's next group takes.
-    The gain is the demand above `HIGH_PRESSURE` that the new groups take from
-    the end of their load to the horizon. The cost is what the dissolved groups
-    still have to finish; the model that gives them stays below `LOW_PRESSURE`,
-    so that its other groups have room for what would have come.
+    As few groups are dissolved as the next group of the other model takes;
+    those with warm members and few requests go first.
 
     Args:
         engine: Figures of the domain's engine.
         needs: Demand and capacity by model, over all domains.
         groups: The open groups of one domain.
-        free: Free workers of the domain, which join the new groups.
-        horizon_ms: Time for which the new groups are expected to serve.
+        free: Free workers of the domain that join a model without a load, by
+            model. They become members of the new groups.
     """
     by_model: dict[str, list[OpenGroup]] = {}
-    for group in sorted(groups, key=lambda group: group.load):
+    for group in groups:
         by_model.setdefault(group.model, []).append(group)
-    best: tuple[OpenGroup, ...] = ()
-    best_gain = 0.0
-    for name, able in by_model.items():
+    best: Conversion | None = None
+    best_ease = EASE_FACTOR
+    for name, given in by_model.items():
         model = engine.model(name)
-        low = needs.get(name)
-        if model is None or low is None:
+        if model is None or name not in needs:
             continue
         for target in engine.models:
-            high = needs.get(target.name)
-            if target is model or high is None or not _differs(high, low):
-                continue
-            if free >= target.size:
-                # The free workers form a group without any change.
+            warm_free = free.get(target.name, 0)
+            if (
+                target is model
+                or target.name not in needs
+                # Enough free workers form a group without any change.
+                or warm_free >= target.size
+            ):
                 continue
-            count = math.ceil((target.size - free) / model.size)
-            formed = (free + count * model.size) // target.size
-            if count > len(able) or not _spare(low, count * engine.slots):
+            count = math.ceil((target.size - warm_free) / model.size)
+            if count > len(given):
                 continue
-            eased = _excess(high) - _excess(
-                planner.Need(high.demand, high.capacity + formed * engine.slots)
+            formed = (warm_free + count * model.size) // target.size
+            ease = _ease(
+                needs[target.name], needs[name], formed, count, engine.slots
             )
-            chosen = tuple(able[:count])
-            gain = (
-                eased * (horizon_ms - target.load_ms)
-                - sum(group.load for group in chosen) * FINISH_MS
-            )
-            if gain > best_gain:
-                best, best_gain = chosen, gain
+            if ease >= best_ease:
+                chosen = sorted(
+                    given,
+                    key=lambda g: (target.name not in g.warm, g.load),
+                )[:count]
+                warm = all(target.name in g.warm for g in chosen)
+                best = Conversion(target, tuple(chosen), warm)
+                best_ease = ease
     return best
 
 
-def _spare(need: planner.Need, slots: int) -> bool:
-    """Whether a model can do without one of its groups."""
-    # The pressure is unlimited without any group.
-    return _pressure(need.demand, need.capacity - slots) < LOW_PRESSURE
+def pressure(need: planner.Need, slots: int) -> float:
+    """Returns the demand by the capacity that the loss of one group leaves.
 
+    The model with fewer groups loses more with each of them, so at equal use
+    it has the higher pressure.
 
-def _differs(high: planner.Need, low: planner.Need) -> bool:
-    """Whether the difference of the pressures is worth a change."""
-    pressure = _pressure(high.demand, high.capacity)
-    return pressure > HIGH_PRESSURE and pressure >= PRESSURE_FACTOR * _pressure(
-        low.demand, low.capacity
+    Args:
+        need: Demand and capacity of a model.
+        slots: Slots of one group.
+    """
+    if need.demand <= 0:
+        return 0.0
+    left = max(need.capacity - slots, LEAST_LEFT * need.capacity)
+    return need.demand / left if left > 0 else math.inf
+
+
+def _ease(
+    high: planner.Need,
+    low: planner.Need,
+    formed: int,
+    given: int,
+    slots: int,
+) -> float:
+    """Returns the factor by which the highest of two pressures falls."""
+    before = pressure(high, slots)
+    after = max(
+        pressure(
+            planner.Need(high.demand, high.capacity + formed * slots), slots
+        ),
+        pressure(planner.Need(low.demand, low.capacity - given * slots), slots),
     )
-
-
-def _pressure(demand: float, capacity: float) -> float:
-    if demand <= 0:
+    if before <= HIGH_PRESSURE or math.isinf(after):
         return 0.0
-    return demand / capacity if capacity > 0 else math.inf
-
-
-def _excess(need: planner.Need) -> float:
-    return max(0.0, need.demand - HIGH_PRESSURE * need.capacity)
+    return before / after if after > 0 else math.inf
--- a/oleanderbay/gateway/formation.py
+++ b/oleanderbay/gateway/formation.py
@@ -72,7 +72,7 @@
         self.name = name
         self.forming: dict[Key, table.Model] = {}
         self.busy: dict[str, str] = {}
-        self._staging: set[tuple[str, int]] = set()
+        self._staging: dict[tuple[str, int], str] = {}
         self._counter = 0
 
     def begin(self, formation: planner.Formation) -> None:
@@ -100,14 +100,14 @@
         """Whether the formation of an earlier owner is carried on."""
         return self.tasks.running(("adopt", key))
 
-    def staged(self, worker: workers.Worker) -> bool:
-        """Whether this start of a worker was told to load a model."""
-        return (worker.id, worker.born_ms) in self._staging
+    def staged(self, worker: workers.Worker, model: str) -> bool:
+        """Whether this start of a worker was told to load a model last."""
+        return self._staging.get((worker.id, worker.born_ms)) == model
 
     def stage(self, worker: workers.Worker, model: table.Model) -> None:
         """Lets a worker load a model onto its host."""
         mark = (worker.id, worker.born_ms)
-        self._staging.add(mark)
+        self._staging[mark] = model.name
         self.tasks.start(("stage", *mark), self._stage_one(worker, model))
 
     def adopt(self, group: workers.Group, model: table.Model) -> None:
--- a/oleanderbay/gateway/keeper.py
+++ b/oleanderbay/gateway/keeper.py
@@ -17,6 +17,7 @@
     load,
     ordering,
     planner,
+    reservation,
     state,
     table,
     workers,
@@ -108,6 +109,8 @@
             loads,
             needs,
             rng,
+            # A group that stalls is closed after this time at the latest.
+            reservation.Reservations(clock, 2 * config.workers.stall_ms),
             telemetry,
         )
         self._first_seen_ms: dict[str, int] = {}
@@ -206,10 +209,9 @@
         needs = self.capacity.needs(
             service, standing, self.formations.unrecorded(groups), own
         )
-        self.allocation.convert(
-            engine, needs, len(free), [groups[key] for key in own]
-        )
-        if not free:
+        settled = [groups[key] for key in own if key in standing.models]
+        self.allocation.convert(engine, needs, free, settled)
+        if not free and self.demand.begun:
             return
         log.debug(
             "domain planned",
@@ -221,7 +223,7 @@
             },
         )
         preferred = self.allocation.preferred(engine, domain, domains)
-        self.allocation.allocate(engine, needs, free, preferred)
+        self.allocation.allocate(engine, needs, free, settled, preferred)
 
     def _review(self, engine: table.Engine, group: workers.Group) -> None:
         """Starts what an existing group needs."""
--- /dev/null
+++ b/oleanderbay/gateway/staging.py
@@ -0,0 +1,96 @@
+"""Which models workers load onto their hosts before they need them."""
+
+from collections.abc import Iterable, Mapping
+
+import structlog
+
+from oleanderbay.gateway import (
+    affinity,
+    conversion,
+    formation,
+    planner,
+    table,
+    workers,
+)
+from oleanderbay.gateway import capacity as capacity_module
+from oleanderbay.gateway import telemetry as telemetry_module
+
+log = structlog.get_logger()
+
+
+class Staging:
+    """Starts loads onto hosts, within the limit of the weight store.
+
+    A worker that serves goes on serving during a load.
+    """
+
+    def __init__(
+        self,
+        capacity: capacity_module.Capacity,
+        formations: formation.Formations,
+        telemetry: telemetry_module.Telemetry,
+    ) -> None:
+        self.capacity = capacity
+        self.formations = formations
+        self.telemetry = telemetry
+
+    def spares(
+        self,
+        engine: table.Engine,
+        needs: Mapping[str, planner.Need],
+        spare: Iterable[planner.Free],
+        preferred: table.Model | None,
+    ) -> None:
+        """Loads a model onto the hosts of spare workers that have none."""
+        model = affinity.spare_model(engine, needs, preferred)
+        for item in spare:
+            if not item.worker.staged and not item.worker.models:
+                self._stage(engine, item.worker, model)
+
+    def alternatives(
+        self, engine: table.Engine, groups: Iterable[workers.Group]
+    ) -> None:
+        """Loads another model onto the hosts of workers that serve.
+
+        They can then change to it in the time of a warm start. The model of
+        their own group is kept in memory, so the host need not keep it, too.
+        """
+        for group in groups:
+            others = [m for m in engine.models if m.name != group.model]
+            if not group.open or not others:
+                continue
+            # A missing group of this model costs most: it takes the most
+            # workers that load for the longest time.
+            model = max(others, key=lambda m: m.size * m.load_ms)
+            for worker in group.members.values():
+                self._stage(engine, worker, model)
+
+    def members(
+        self,
+        engine: table.Engine,
+        chosen: conversion.Conversion,
+        groups: Iterable[workers.Group],
+    ) -> None:
+        """Loads the model of a conversion before its groups are closed."""
+        keys = {(given.name, given.epoch) for given in chosen.groups}
+        for group in groups:
+            if (group.name, group.epoch) in keys:
+                for worker in group.members.values():
+                    self._stage(engine, worker, chosen.model)
+
+    def _stage(
+        self,
+        engine: table.Engine,
+        worker: workers.Worker,
+        model: table.Model,
+    ) -> None:
+        if (
+            model.name in worker.staged
+            or self.formations.staged(worker, model.name)
+            or self.capacity.loads_left(engine) < 1
+        ):
+            return
+        self.capacity.begin_loads(1)
+        self.telemetry.instruments.loads.add(1)
+        log.debug("model staged ahead", worker=worker.id, model=model.name)
+        self.formations.stage(worker, model)
--- a/tests/gateway/test_capacity.py
+++ b/tests/gateway/test_capacity.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from oleanderbay.gateway import capacity, dissolution, table, workers
+from oleanderbay.gateway import capacity, dissolution, table, tasks, workers
 from tests.gateway import parts
 
 
@@ -12,6 +12,7 @@
     """Counts groups; only the closed ones of the dissolution are used."""
     ended = dissolution.Dissolution.__new__(dissolution.Dissolution)
     ended.closed = set()
+    ended.tasks = tasks.Tasks(Exception)
     return capacity.Standings(known.state, known.evidence, ended), ended
 
 
