Leave groups of evacuated zones out of the capacity

Change: a group with a member in an evacuated zone does not stand; it counts again when the evacuation ends.

--- a/oleanderbay/gateway/capacity.py
+++ b/oleanderbay/gateway/capacity.py
@@ -75,7 +75,7 @@
             self._recorded[engine] = {
                 key: group
                 for key, group in self.known.groups().items()
-                if _stands(engine, group)
+                if _stands(engine, group, self.known.evacuated)
             }
         return self._recorded[engine]
 
@@ -86,13 +86,18 @@
         )
 
 
-def _stands(engine: table.Engine, group: workers.Group) -> bool:
-    """Whether a group is whole and stays, by its members' records."""
+def _stands(
+    engine: table.Engine, group: workers.Group, evacuated: frozenset[str]
+) -> bool:
+    """Whether a group is whole, stays and may serve, by the records."""
     model = engine.model(group.model)
     return (
         model is not None
         and group.complete(model.size)
-        and not any(worker.draining for worker in group.members.values())
+        and not any(
+            worker.draining or worker.zone in evacuated
+            for worker in group.members.values()
+        )
     )
 
 
--- a/tests/gateway/test_capacity.py
+++ b/tests/gateway/test_capacity.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from oleanderbay.gateway import capacity, dissolution, table, tasks, workers
+from oleanderbay.gateway import (
+    capacity,
+    dissolution,
+    interfaces,
+    table,
+    tasks,
+    workers,
+)
 from tests.gateway import parts
 
 
@@ -120,3 +127,22 @@
     assert counted.count(parts.ENGINE.engine).counts == {"small": 9}
     known.state.forget("g01")
     assert counted.count(parts.ENGINE.engine).counts == {"small": 8}
+
+
+def test_groups_of_an_evacuated_zone_do_not_count():
+    """Guards against capacity that gets no requests (issue 11).
+
+    With its only groups in such a zone, a model had room by the count and
+    refused all requests, and no workers were converted to it.
+    """
+    known = parts.Known()
+    known.add(*(parts.worker(f"g{rank}", "g", rank) for rank in (0, 1)))
+    counted, _ = standings(known)
+    engine = parts.ENGINE.engine
+    assert counted.count(engine).counts == {"small": 1}
+    for value, count in ((b"x", 0), (None, 1)):
+        known.offset += 1
+        known.state.configuration_changed(
+            interfaces.KeyedRecord(known.offset, "zone/z1", value)
+        )
+        assert counted.count(engine).counts["small"] == count
