Turn off the HTTP client's own repeats

aiohttp sends a GET, PUT or DELETE once more when the connection breaks, also on a connection that was new. The client's repeats are now off.

The new test counts arrivals at a worker that closes after the head: 2 for GET and PUT before the change, 1 after it.

--- a/oleanderbay/gateway/sending.py
+++ b/oleanderbay/gateway/sending.py
@@ -172,6 +172,9 @@
                 total=None, sock_connect=self.connect_timeout_ms / 1000
             ),
         )
+        # The library repeats GET, PUT and DELETE when a connection breaks. Such
+        # a repeat would be in no budget, and a route may forbid it.
+        self._session._retry_connection = False
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/tests/gateway/test_sending.py
+++ b/tests/gateway/test_sending.py
@@ -1,6 +1,7 @@
 """Tests of workers' answers, byte by byte."""
 
 import asyncio
+import contextlib
 import socket
 
 import multidict
@@ -18,9 +19,24 @@
 INTERIM = (
     b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
 )
+HEADERS = multidict.CIMultiDict(Host="api")
 EXTRA = (b"", b"x", b"\r\n\r\n", b"\0" * 70_000, FIXED, INTERIM)
 
 
+@contextlib.asynccontextmanager
+async def serving(serve):
+    """Runs a worker; gives a sender and the worker's record."""
+    server = await asyncio.start_server(serve, "127.0.0.1")
+    host, port = server.sockets[0].getsockname()
+    sender = sending.Sender(1_000)
+    await sender.start()
+    try:
+        yield sender, parts.worker("w0", address=f"{host}:{port}")
+    finally:
+        await sender.close()
+        server.close()
+
+
 async def exchange(answer, step=0, read=True, reset=False, target="/a"):
     """Returns what is sent to a worker, and its answer or the error."""
     sent = bytearray()
@@ -44,27 +60,21 @@
         else:
             writer.close()
 
-    server = await asyncio.start_server(serve, "127.0.0.1")
-    host, port = server.sockets[0].getsockname()
-    sender = sending.Sender(1_000)
-    await sender.start()
     call = interfaces.Call(
         id="r1",
         method="POST",
         host="api",
         target=target,
-        headers=multidict.CIMultiDict(Host="api"),
+        headers=HEADERS,
         body=b"body",
     )
-    worker = parts.worker("w0", address=f"{host}:{port}")
-    try:
-        opened = await sender.open(worker, call, call.headers, 5_000)
-        result = opened.status, await opened.whole(5_000, 1_000)
-        opened.close()
-    except sending.AttemptError as error:
-        result = error
-    await sender.close()
-    server.close()
+    async with serving(serve) as (sender, worker):
+        try:
+            opened = await sender.open(worker, call, call.headers, 5_000)
+            result = opened.status, await opened.whole(5_000, 1_000)
+            opened.close()
+        except sending.AttemptError as error:
+            result = error
     return bytes(sent), result
 
 
@@ -128,3 +138,23 @@
     """A worker must get what the caller sent."""
     sent, _ = await exchange(FIXED, target=target)
     assert sent.split()[1].decode() == target
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT"])
+async def test_the_library_sends_no_request_again(method):
+    """The gateway alone decides on repeats, by route and by budget."""
+    arrived = 0
+
+    async def serve(reader, writer):
+        nonlocal arrived
+        await reader.readuntil(b"\r\n\r\n")
+        arrived += 1
+        writer.close()
+
+    async with serving(serve) as (sender, worker):
+        call = interfaces.Call(
+            id="r1", method=method, host="api", target="/a", headers=HEADERS
+        )
+        with pytest.raises(sending.AttemptError) as failed:
+            await sender.open(worker, call, call.headers, 5_000)
+    assert failed.value.sent and arrived == 1
