Suspect the member that a group's head names in a 503

The head of a broken group says in its 503 which member is at fault, and nothing used that: the group went on to get requests until their failures excluded its head, and the domain's owner learned of the member later.

The gateway now suspects the member and the head at once. Choices avoid the group, peers hear of it in the next heartbeat, and the owner asks the members for reports, as for any lost member. A head can name members of its own group only. The test fails without the change.

--- a/oleanderbay/gateway/attempt.py
+++ b/oleanderbay/gateway/attempt.py
@@ -177,6 +177,27 @@
         elif not error.stale:
             self.parts.evidence.failed(worker.id)
 
+    def _suspect_member(
+        self, head: workers.Worker, exchange: sending.Exchange
+    ) -> None:
+        """Suspects the member of a group that its head says is at fault.
+
+        The head is suspected too: choices go by the heads of groups.
+        """
+        member_id = self.parts.translator.refused_by(exchange.headers)
+        known = self.parts.choices.known
+        member = known.workers.get(member_id) or known.absent.get(member_id)
+        ours = head.membership
+        theirs = member.membership if member is not None else None
+        if (
+            ours is None
+            or theirs is None
+            or (ours.group, ours.epoch) != (theirs.group, theirs.epoch)
+        ):
+            return
+        self.parts.evidence.suspect(member_id)
+        self.parts.evidence.suspect(head.id)
+
     def _belongs(
         self, run: Run, worker: workers.Worker, exchange: sending.Exchange
     ) -> bool:
@@ -193,6 +214,8 @@
     ) -> answer.Failed | None:
         parts = self.parts
         parts.evidence.heard(worker.id)
+        if exchange.status == 503:
+            self._suspect_member(worker, exchange)
         # What a worker sent before the request came must not answer it.
         if exchange.reused and not self._belongs(run, worker, exchange):
             return answer.Failed(
--- a/oleanderbay/standins/group_worker.py
+++ b/oleanderbay/standins/group_worker.py
@@ -67,6 +67,7 @@
         abandoned: Requests whose connection ended before the answer did.
         orders: Orders that were received, with the status given.
         events: Number of events in a stream.
+        at_fault: Member that the head names in a 503; empty for none.
         hold_after: Event after which streams wait for `released`.
         changed: Called after each change of the record.
     """
@@ -94,6 +95,7 @@
         self.abandoned = 0
         self.orders: list[tuple[dict[str, Any], int]] = []
         self.events = 5
+        self.at_fault = ""
         self.hold_after = -1
         self.released = asyncio.Event()
         self.changed: Callable[[], None] = lambda: None
@@ -259,6 +261,9 @@
             return self._reset(request)
         if self.spend("stall"):
             await asyncio.Event().wait()
+        if self.at_fault:
+            named = {names.AT_FAULT: self.at_fault}
+            return web.json_response({}, status=503, headers=named)
         if self.spend("fail"):
             return web.json_response({}, status=500)
         if self.spend("broken"):
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -267,6 +267,29 @@
         assert made.runs == 5
 
 
+@pytest.mark.parametrize("named", ["m0", "w0", "m1", "unknown"])
+async def test_a_member_that_a_head_names_in_a_503_is_suspected(named):
+    """Waiting for the stall to show costs each further request."""
+    async with world(split=(("chat", 1.0),)) as made:
+        for number, one in enumerate(made.workers):
+            group = f"g{number}"
+            made.known.add(
+                parts.worker(one.id, group, 0, address=one.address),
+                parts.worker(f"m{number}", group, 1),
+            )
+        made.workers[0].at_fault = named
+        made.known.evidence.suspect("w1")
+        await made.call(model="small")
+        # A group's head can't accuse the members of another group.
+        expected = {named, "w0"} if named in ("m0", "w0") else set()
+        found = made.known.evidence.suspects()
+        assert {one for one in found if one != "w1"} == expected
+        made.known.evidence.heard("w1")
+        able = made.known.choices.able(parts.ENGINE, "small")
+        assert [one.id for one in able][-1] == "w1"
+        assert len(able) == (1 if expected else 2)
+
+
 async def test_work_ends_when_the_caller_leaves():
     """A slot at the worker would stay taken for nobody."""
     async with world(1, **STREAMING) as made:
