Accept request targets in absolute form

The target's host now decides the route, in place of the header Host, and the worker gets the path and that host. Other schemes, user information and a missing host are refused with 400, as is OPTIONS for a bare host, which stands for the form "*" that has no route.

--- a/oleanderbay/gateway/arrivals.py
+++ b/oleanderbay/gateway/arrivals.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import json
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -10,7 +12,7 @@
 import structlog
 from aiohttp import http_exceptions, streams, web, web_protocol
 
-from oleanderbay.gateway import table
+from oleanderbay.gateway import interfaces, table
 from oleanderbay.gateway import telemetry as telemetry_module
 from oleanderbay.process import clock as clocks
 from oleanderbay.request import outcome
@@ -25,6 +27,14 @@
 # Time in which a caller that still sends can read a refusal.
 LINGERING_S = 2
 END = b"\r\n\r\n"
+# A request target in absolute form (RFC 9112, section 3.2.2). User information
+# before the host has no meaning here and can disguise the host.
+ABSOLUTE = re.compile(
+    r"https?://"
+    r"(?P<host>(?:\[[0-9a-f:.]+\]|[\w.~!$&'()*+,;=%-]+)(?::[0-9]*)?)"
+    r"(?P<rest>(?:[/?].*)?)",
+    re.ASCII | re.IGNORECASE,
+)
 
 log = structlog.get_logger()
 
@@ -75,8 +85,11 @@
     if len(request.headers.getall("Host", ())) != 1:
         return bad_request("there must be one Host header")
     # A fragment or a target in another form would not reach the worker as sent.
+    # An OPTIONS request for a host without a path stands for the form "*".
+    absolute = ABSOLUTE.fullmatch(target)
     if (
-        not target.startswith("/")
+        not (absolute or target.startswith("/"))
+        or (absolute and request.method == "OPTIONS" and not absolute["rest"])
         or "#" in target
         or not (target.isascii() and target.isprintable())
         or " " in target
@@ -97,6 +110,25 @@
     return None
 
 
+def in_origin_form(call: interfaces.Call) -> interfaces.Call:
+    """Returns a request whose target is a path, for the host of its target.
+
+    A target in absolute form takes precedence over the header Host.
+    """
+    absolute = ABSOLUTE.fullmatch(call.target)
+    if absolute is None:
+        return call
+    headers = call.headers.copy()
+    headers["Host"] = absolute["host"]
+    rest = absolute["rest"]
+    return dataclasses.replace(
+        call,
+        host=absolute["host"].lower(),
+        target=rest if rest.startswith("/") else f"/{rest}",
+        headers=headers,
+    )
+
+
 def _is_utf8(value: bytes) -> bool:
     try:
         value.decode()
--- a/oleanderbay/gateway/listener.py
+++ b/oleanderbay/gateway/listener.py
@@ -219,6 +219,7 @@
         if isinstance(call, str):
             await self._refuse(answer, arrivals.bad_request(call))
             return
+        call = arrivals.in_origin_form(call)
         if request.body_exists:
             body = await self._body(request, call, limits)
             if isinstance(body, outcome.Refusal):
