Keep undocumented names of aiohttp in one module

arrivals.py used undocumented attributes of aiohttp 3.14.5 in many places, so a renamed one would have shown up in traffic. They are now properties of classes in gateway/library.py, which lists them; a test fails with the name and the version if one is gone, and another if a module uses one directly.

--- a/oleanderbay/gateway/arrivals.py
+++ b/oleanderbay/gateway/arrivals.py
@@ -10,9 +10,9 @@
 
 import multidict
 import structlog
-from aiohttp import http_exceptions, streams, web, web_protocol
+from aiohttp import http_exceptions, streams, web
 
-from oleanderbay.gateway import interfaces, table
+from oleanderbay.gateway import interfaces, library, table
 from oleanderbay.gateway import telemetry as telemetry_module
 from oleanderbay.process import clock as clocks
 from oleanderbay.request import outcome
@@ -137,7 +137,7 @@
     return True
 
 
-class Server(web.Server):
+class Server(library.Server):
     """An HTTP server that enforces the limits of the version in force.
 
     Attributes:
@@ -172,7 +172,9 @@
 
     def __call__(self) -> "Connection":
         """Makes the protocol of one connection."""
-        return Connection(self, self._loop, self._kwargs)
+        made = self.make(Connection)
+        assert isinstance(made, Connection)
+        return made
 
     async def sweep(self) -> None:
         """Ends connections that exceed a limit in time, until cancelled."""
@@ -206,7 +208,7 @@
         return found
 
 
-class Connection(web.RequestHandler):
+class Connection(library.ServerProtocol):
     """One connection of a caller."""
 
     __slots__ = (
@@ -238,16 +240,6 @@
         self._failed = False
         self._lingers: asyncio.Future[None] | None = None
 
-    @property
-    def waits(self) -> bool:
-        """Whether no request is queued or being answered."""
-        return self._waiter is not None and not self._messages
-
-    @property
-    def switched(self) -> bool:
-        """Whether the parser has stopped at a request to upgrade."""
-        return self._upgraded
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Counts the connection as idle from now on."""
         super().connection_made(transport)
@@ -269,13 +261,7 @@
         """Refuses a request whose head is not complete, after earlier ones."""
         self._owner.heads.pop(self, None)
         self._failed = True
-        error = http_exceptions.HttpProcessingError(
-            code=status, message=message
-        )
-        info = web_protocol._ErrInfo(status=status, exc=error, message=message)
-        self._messages.append((info, streams.EMPTY_PAYLOAD))
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+        self.queue_error(status, message)
 
     def data_received(self, data: bytes) -> None:
         """Parses bytes, each head by itself.
@@ -295,24 +281,22 @@
 
     def _received(self, data: bytes) -> None:
         """Parses bytes and notes whether a further head has begun."""
-        if self._failed or self._close or self._force_close:
+        if self._failed or self.ending:
             return
         open_before = not self._body.is_eof()
         size_before = self._body.total_bytes if open_before else 0
-        count = self._request_count
+        count = self.requests
         super().data_received(data)
-        if self._request_count != count:
-            message, body = self._messages[-1]
-            if isinstance(message, web_protocol._ErrInfo):
+        if self.requests != count:
+            message, body = self.newest
+            if isinstance(message, str):
                 self._failed = True
                 self._owner.idle.pop(self, None)
                 self._owner.heads.pop(self, None)
                 # The parser leaves the reader of a malformed body waiting. The
                 # end keeps the library from reading on after the refusal.
                 if not self._body.is_eof():
-                    self._body.set_exception(
-                        web.RequestPayloadError(message.message)
-                    )
+                    self._body.set_exception(web.RequestPayloadError(message))
                     self._body.feed_eof()
                 return
             self._body, self._chunked = body, bool(message.chunked)
@@ -330,7 +314,7 @@
                 self._last + before_body
             ).endswith(END)
             self._head_bytes = 0
-            if self._request_count == count and not self._request_in_progress:
+            if self.requests == count and not self.answering:
                 self._rest()
         self._last = (self._last + data)[-len(END) :]
 
@@ -339,7 +323,7 @@
         if not self._partial and not data.strip(b"\r\n"):
             return
         # The parser keeps whole requests back while the queue is full.
-        if self._buffer_paused:
+        if self.held_back:
             return
         self._head_bytes += len(data)
         if not self._partial:
@@ -365,7 +349,7 @@
     ) -> tuple[web.StreamResponse, bool]:
         """Ends an answer, after which the connection waits."""
         done = await super().finish_response(request, resp, start_time)
-        if not self._body.is_eof() or (self._messages and resp.keep_alive):
+        if not self._body.is_eof() or (self.queued and resp.keep_alive):
             return done
         if not self._failed:
             self._rest()
@@ -374,7 +358,7 @@
             # the refusal before the caller reads it. The end of the
             # connection cancels this task.
             self.transport.write_eof()
-            self._lingers = self._loop.create_future()
+            self._lingers = asyncio.get_running_loop().create_future()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(LINGERING_S):
                     await self._lingers
--- a/tests/gateway/test_library.py
+++ b/tests/gateway/test_library.py
@@ -1,11 +1,14 @@
 """Tests that aiohttp still has the undocumented names in use."""
 
+import ast
 import asyncio
+import pathlib
+from unittest import mock
 
 import aiohttp
 import pytest
 import yarl
-from aiohttp import client_proto
+from aiohttp import client_proto, web
 
 from oleanderbay.gateway import library
 
@@ -18,6 +21,8 @@
             aiohttp.TCPConnector(),
             session,
             yarl.URL("http://a/"),
+            server := web.Server(mock.Mock()),
+            server(),
         ]
 
 
@@ -27,3 +32,16 @@
     (made,) = [one for one in await objects() if type(one) is owner]
     missing = [n for n in library.USED[owner] if not hasattr(made, n)]
     assert not missing, f"{owner.__name__} of aiohttp {aiohttp.__version__}"
+
+
+@pytest.mark.parametrize("module", ["arrivals", "link", "pool", "sending"])
+def test_only_one_module_uses_the_names(module):
+    """A use elsewhere would not be checked."""
+    path = pathlib.Path(library.__file__).with_name(f"{module}.py")
+    used = {
+        node.attr
+        for node in ast.walk(ast.parse(path.read_text()))
+        if isinstance(node, ast.Attribute)
+    }
+    checked = {"_ErrInfo", "_EXC_SENTINEL", *sum(library.USED.values(), ())}
+    assert not used & {name for name in checked if name.startswith("_")}
