Accept answers on idle connections that do not name their worker

An answer had to name worker and request. Whether workers name themselves in each answer is not published, and if they do not, no connection would ever be reused. The request must still be named; a named worker must be the right one. The share of idle connections now also shrinks when gateways are added, at the next review.

--- a/oleanderbay/gateway/attempt.py
+++ b/oleanderbay/gateway/attempt.py
@@ -201,9 +201,12 @@
     def _belongs(
         self, run: Run, worker: workers.Worker, exchange: sending.Exchange
     ) -> bool:
-        """Whether an answer says that it is this worker's to this request."""
+        """Whether an answer names this request and no other worker."""
         found = self.parts.translator.origin(exchange.headers)
-        return found == interfaces.Origin(worker.id, run.call.id)
+        # A connection leads to one worker, and a worker may not name itself.
+        return found.request_id == run.call.id and (
+            found.worker_id in ("", worker.id)
+        )
 
     async def _answer(
         self,
--- a/oleanderbay/gateway/pool.py
+++ b/oleanderbay/gateway/pool.py
@@ -77,9 +77,7 @@
         self.idle.setdefault(worker.id, []).append(connection)
         self._until_ms[connection] = self.clock.now_ms() + kept_ms
         connection.left = self._drop
-        most = self.config.idle_per_worker // max(1, self.gateways())
-        while len(self.idle.get(worker.id, ())) > most:
-            self._drop(self.idle[worker.id][0])
+        self._trim(worker.id)
         while len(self._until_ms) > self.config.idle_in_all:
             self._drop(next(iter(self._until_ms)))
 
@@ -93,6 +91,7 @@
                     connection, worker
                 ):
                     self._drop(connection)
+            self._trim(worker_id)
 
     def close(self) -> None:
         """Closes all idle connections and keeps no further one."""
@@ -100,6 +99,12 @@
         for connection in tuple(self._until_ms):
             self._drop(connection)
 
+    def _trim(self, worker_id: str) -> None:
+        """Closes the oldest connections beyond the share of this gateway."""
+        most = self.config.idle_per_worker // max(1, self.gateways())
+        while len(self.idle.get(worker_id, ())) > most:
+            self._drop(self.idle[worker_id][0])
+
     def _kept_ms(self, connection: link.Link) -> int:
         """Returns for how long a connection may still be used."""
         if self._closed or not self.on:
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import random
+from unittest import mock
 
 import multidict
 import pytest
@@ -267,6 +268,24 @@
         assert made.runs == 5
 
 
+@pytest.mark.parametrize(
+    ("headers", "belongs"),
+    [
+        ({names.REQUEST_ID: "r1"}, True),
+        ({names.REQUEST_ID: "r1", names.WORKER_ID: "w0"}, True),
+        ({names.REQUEST_ID: "r1", names.WORKER_ID: "w1"}, False),
+        ({names.REQUEST_ID: "r2", names.WORKER_ID: "w0"}, False),
+        ({names.WORKER_ID: "w0"}, False),
+    ],
+)
+def test_an_answer_belongs_to_the_request_that_it_names(headers, belongs):
+    """An answer to an earlier request could come late."""
+    made = attempt.Attempts(mock.Mock(translator=ingress.HeaderTranslator()))
+    run = mock.Mock(call=mock.Mock(id="r1"))
+    exchange = mock.Mock(headers=headers)
+    assert made._belongs(run, parts.worker("w0"), exchange) is belongs
+
+
 @pytest.mark.parametrize("named", ["m0", "w0", "m1", "unknown"])
 async def test_a_member_that_a_head_names_in_a_503_is_suspected(named):
     """Waiting for the stall to show costs each further request."""
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -332,6 +332,10 @@
             one.close(keep=True)
         assert made.idle == kept
         await parts.until(lambda: made.worker.ended == 5 - kept)
+        # More gateways leave a smaller share to each.
+        made.sender.idle.gateways = lambda: 1_000
+        await made.clock.advance(200)
+        assert not made.idle
         late = await made.open()
         await late.whole(5_000, 1_000)
         await made.sender.close()
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -153,3 +153,5 @@
         ("X-Response-Seal", "s"),
     ]
     assert TRANSLATOR.refused_by({"At-Server": "w3"}) == "w3"
+    told = TRANSLATOR.origin({"X-Instance-Id": "w3", "X-Request-Id": "r1"})
+    assert (told.worker_id, told.request_id) == ("w3", "r1")
