--- a/oleanderbay/gateway/arrivals.py
+++ b/oleanderbay/gateway/arrivals.py
@@ -2,15 +2,17 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import json
+import re
 from collections.abc import Callable
 from typing import Any
 
 import multidict
 import structlog
-from aiohttp import http_exceptions, streams, web, web_protocol
+from aiohttp import http_exceptions, streams, web
 
-from oleanderbay.gateway import table
+from oleanderbay.gateway import interfaces, library, table
 from oleanderbay.gateway import telemetry as telemetry_module
 from oleanderbay.process import clock as clocks
 from oleanderbay.request import outcome
@@ -25,6 +27,14 @@
 # Time in which a caller that still sends can read a refusal.
 LINGERING_S = 2
 END = b"\r\n\r\n"
+# A request target in absolute form (RFC 9112, section 3.2.2). User information
+# before the host has no meaning here and can disguise the host.
+ABSOLUTE = re.compile(
+    r"https?://"
+    r"(?P<host>(?:\[[0-9a-f:.]+\]|[\w.~!$&'()*+,;=%-]+)(?::[0-9]*)?)"
+    r"(?P<rest>(?:[/?].*)?)",
+    re.ASCII | re.IGNORECASE,
+)
 
 log = structlog.get_logger()
 
@@ -75,8 +85,11 @@
     if len(request.headers.getall("Host", ())) != 1:
         return bad_request("there must be one Host header")
     # A fragment or a target in another form would not reach the worker as sent.
+    # An OPTIONS request for a host without a path stands for the form "*".
+    absolute = ABSOLUTE.fullmatch(target)
     if (
-        not target.startswith("/")
+        not (absolute or target.startswith("/"))
+        or (absolute and request.method == "OPTIONS" and not absolute["rest"])
         or "#" in target
         or not (target.isascii() and target.isprintable())
         or " " in target
@@ -97,6 +110,25 @@
     return None
 
 
+def in_origin_form(call: interfaces.Call) -> interfaces.Call:
+    """Returns a request whose target is a path, for the host of its target.
+
+    A target in absolute form takes precedence over the header Host.
+    """
+    absolute = ABSOLUTE.fullmatch(call.target)
+    if absolute is None:
+        return call
+    headers = call.headers.copy()
+    headers["Host"] = absolute["host"]
+    rest = absolute["rest"]
+    return dataclasses.replace(
+        call,
+        host=absolute["host"].lower(),
+        target=rest if rest.startswith("/") else f"/{rest}",
+        headers=headers,
+    )
+
+
 def _is_utf8(value: bytes) -> bool:
     try:
         value.decode()
@@ -105,7 +137,7 @@
     return True
 
 
-class Server(web.Server):
+class Server(library.Server):
     """An HTTP server that enforces the limits of the version in force.
 
     Attributes:
@@ -140,7 +172,9 @@
 
     def __call__(self) -> "Connection":
         """Makes the protocol of one connection."""
-        return Connection(self, self._loop, self._kwargs)
+        made = self.make(Connection)
+        assert isinstance(made, Connection)
+        return made
 
     async def sweep(self) -> None:
         """Ends connections that exceed a limit in time, until cancelled."""
@@ -174,7 +208,7 @@
         return found
 
 
-class Connection(web.RequestHandler):
+class Connection(library.ServerProtocol):
     """One connection of a caller."""
 
     __slots__ = (
@@ -206,16 +240,6 @@
         self._failed = False
         self._lingers: asyncio.Future[None] | None = None
 
-    @property
-    def waits(self) -> bool:
-        """Whether no request is queued or being answered."""
-        return self._waiter is not None and not self._messages
-
-    @property
-    def switched(self) -> bool:
-        """Whether the parser has stopped at a request to upgrade."""
-        return self._upgraded
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Counts the connection as idle from now on."""
         super().connection_made(transport)
@@ -237,13 +261,7 @@
         """Refuses a request whose head is not complete, after earlier ones."""
         self._owner.heads.pop(self, None)
         self._failed = True
-        error = http_exceptions.HttpProcessingError(
-            code=status, message=message
-        )
-        info = web_protocol._ErrInfo(status=status, exc=error, message=message)
-        self._messages.append((info, streams.EMPTY_PAYLOAD))
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+        self.queue_error(status, message)
 
     def data_received(self, data: bytes) -> None:
         """Parses bytes, each head by itself.
@@ -263,24 +281,22 @@
 
     def _received(self, data: bytes) -> None:
         """Parses bytes and notes whether a further head has begun."""
-        if self._failed or self._close or self._force_close:
+        if self._failed or self.ending:
             return
         open_before = not self._body.is_eof()
         size_before = self._body.total_bytes if open_before else 0
-        count = self._request_count
+        count = self.requests
         super().data_received(data)
-        if self._request_count != count:
-            message, body = self._messages[-1]
-            if isinstance(message, web_protocol._ErrInfo):
+        if self.requests != count:
+            message, body = self.newest
+            if isinstance(message, str):
                 self._failed = True
                 self._owner.idle.pop(self, None)
                 self._owner.heads.pop(self, None)
                 # The parser leaves the reader of a malformed body waiting. The
                 # end keeps the library from reading on after the refusal.
                 if not self._body.is_eof():
-                    self._body.set_exception(
-                        web.RequestPayloadError(message.message)
-                    )
+                    self._body.set_exception(web.RequestPayloadError(message))
                     self._body.feed_eof()
                 return
             self._body, self._chunked = body, bool(message.chunked)
@@ -298,7 +314,7 @@
                 self._last + before_body
             ).endswith(END)
             self._head_bytes = 0
-            if self._request_count == count and not self._request_in_progress:
+            if self.requests == count and not self.answering:
                 self._rest()
         self._last = (self._last + data)[-len(END) :]
 
@@ -307,7 +323,7 @@
         if not self._partial and not data.strip(b"\r\n"):
             return
         # The parser keeps whole requests back while the queue is full.
-        if self._buffer_paused:
+        if self.held_back:
             return
         self._head_bytes += len(data)
         if not self._partial:
@@ -333,7 +349,7 @@
     ) -> tuple[web.StreamResponse, bool]:
         """Ends an answer, after which the connection waits."""
         done = await super().finish_response(request, resp, start_time)
-        if not self._body.is_eof() or (self._messages and resp.keep_alive):
+        if not self._body.is_eof() or (self.queued and resp.keep_alive):
             return done
         if not self._failed:
             self._rest()
@@ -342,7 +358,7 @@
             # the refusal before the caller reads it. The end of the
             # connection cancels this task.
             self.transport.write_eof()
-            self._lingers = self._loop.create_future()
+            self._lingers = asyncio.get_running_loop().create_future()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(LINGERING_S):
                     await self._lingers
--- a/oleanderbay/standins/group_worker.py
+++ b/oleanderbay/standins/group_worker.py
@@ -47,12 +47,14 @@
         headers: Headers as they arrived, names in lower case.
         path: Path with query.
         body: The body.
+        port: The caller's port, which stands for its connection.
     """
 
     request_id: str
     headers: dict[str, str]
     path: str
     body: bytes
+    port: int = 0
 
 
 class GroupWorker:
@@ -65,6 +67,7 @@
         abandoned: Requests whose connection ended before the answer did.
         orders: Orders that were received, with the status given.
         events: Number of events in a stream.
+        at_fault: Member that the head names in a 503; empty for none.
         hold_after: Event after which streams wait for `released`.
         changed: Called after each change of the record.
     """
@@ -92,6 +95,7 @@
         self.abandoned = 0
         self.orders: list[tuple[dict[str, Any], int]] = []
         self.events = 5
+        self.at_fault = ""
         self.hold_after = -1
         self.released = asyncio.Event()
         self.changed: Callable[[], None] = lambda: None
@@ -241,6 +245,7 @@
                 headers={k.lower(): v for k, v in request.headers.items()},
                 path=request.raw_path,
                 body=body,
+                port=self._port(request),
             )
         )
         try:
@@ -256,6 +261,9 @@
             return self._reset(request)
         if self.spend("stall"):
             await asyncio.Event().wait()
+        if self.at_fault:
+            named = {names.AT_FAULT: self.at_fault}
+            return web.json_response({}, status=503, headers=named)
         if self.spend("fail"):
             return web.json_response({}, status=500)
         if self.spend("broken"):
@@ -322,6 +330,10 @@
         transport.close()
         return web.Response()
 
+    def _port(self, request: web.Request) -> int:
+        transport = request.transport
+        return transport.get_extra_info("peername")[1] if transport else 0
+
     def _reset(self, request: web.Request) -> web.Response:
         """Ends the connection with a reset in place of its usual end."""
         transport = request.transport
--- /dev/null
+++ b/tests/gateway/test_library.py
@@ -0,0 +1,47 @@
+"""Tests that aiohttp still has the undocumented names in use."""
+
+import ast
+import asyncio
+import pathlib
+from unittest import mock
+
+import aiohttp
+import pytest
+import yarl
+from aiohttp import client_proto, web
+
+from oleanderbay.gateway import library
+
+
+async def objects():
+    """Makes an object of each class of `library.USED`."""
+    async with aiohttp.ClientSession() as session:
+        return [
+            client_proto.ResponseHandler(asyncio.get_running_loop()),
+            aiohttp.TCPConnector(),
+            session,
+            yarl.URL("http://a/"),
+            server := web.Server(mock.Mock()),
+            server(),
+        ]
+
+
+@pytest.mark.parametrize("owner", library.USED, ids=lambda c: c.__name__)
+async def test_the_library_has_the_names(owner):
+    """An update that renames one must fail here, not in traffic."""
+    (made,) = [one for one in await objects() if type(one) is owner]
+    missing = [n for n in library.USED[owner] if not hasattr(made, n)]
+    assert not missing, f"{owner.__name__} of aiohttp {aiohttp.__version__}"
+
+
+@pytest.mark.parametrize("module", ["arrivals", "link", "pool", "sending"])
+def test_only_one_module_uses_the_names(module):
+    """A use elsewhere would not be checked."""
+    path = pathlib.Path(library.__file__).with_name(f"{module}.py")
+    used = {
+        node.attr
+        for node in ast.walk(ast.parse(path.read_text()))
+        if isinstance(node, ast.Attribute)
+    }
+    checked = {"_ErrInfo", "_EXC_SENTINEL", *sum(library.USED.values(), ())}
+    assert not used & {name for name in checked if name.startswith("_")}
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import random
+from unittest import mock
 
 import multidict
 import pytest
@@ -14,7 +15,6 @@
     demand,
     interfaces,
     pipeline,
-    sending,
     table,
 )
 from oleanderbay.platform import ingress, names
@@ -24,6 +24,7 @@
 
 # A status by which the gateway promises that a request did not run.
 PROMISES = (408, 421, 429, 503)
+ROUTE = parts.ROUTE
 WHOLE = b'{"worker": "w0", "bytes": 4}'
 STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(5))
 
@@ -59,8 +60,8 @@
             clock or clocks.SystemClock(), parts.tables(routes=(route,))
         )
         self.workers = []
-        self.sender = sending.Sender(1_000)
         clock = self.known.clock
+        self.sender = parts.sender(clock, self.known.choices.receiving)
         shared = {
             "choices": self.known.choices,
             "evidence": self.known.evidence,
@@ -228,6 +229,86 @@
         assert STREAM.startswith(caller.body) and made.runs == 1
 
 
+async def test_only_a_repeatable_request_goes_on_an_idle_connection():
+    """A worker may close it as the request arrives."""
+    for kind, ports in ((table.Kind.NON_IDEMPOTENT, 2), (ROUTE.kind, 1)):
+        async with world(1, kind=kind) as made:
+            for _ in range(2):
+                assert (await made.call()).status == 200
+            assert len({e.port for e in made.workers[0].executions}) == ports
+
+
+async def test_a_connection_that_ends_as_it_is_used_is_not_a_failure():
+    """The only worker gets the request again, on a new connection."""
+    for changes, left, status in (
+        ({}, 100, 200),
+        ({"max_attempts": 1}, 100, 502),
+        ({}, 0, 502),
+    ):
+        async with world(1, **changes) as made:
+            await made.call()
+            made.pipeline.parts.retries.extra = left
+            made.pipeline.parts.retries.ratio = 0
+            made.workers[0].faults["reset_before"] = 1
+            assert (await made.call()).status == status
+            assert not made.known.evidence.of("w0").failures
+            made.fault("reset_before")
+            assert (await made.call()).status in (502, 503)
+            assert made.known.evidence.of("w0").failures
+
+
+async def test_an_answer_on_an_idle_connection_must_name_the_request():
+    """What comes unasked must not answer the next request."""
+    async with world(1) as made:
+        await made.call()
+        made.workers[0].faults["fail"] = 1
+        assert (await made.call()).status == 200
+        made.workers[0].faults["fail"] = 2
+        assert (await made.call()).status == 502
+        assert made.runs == 5
+
+
+@pytest.mark.parametrize(
+    ("headers", "belongs"),
+    [
+        ({names.REQUEST_ID: "r1"}, True),
+        ({names.REQUEST_ID: "r1", names.WORKER_ID: "w0"}, True),
+        ({names.REQUEST_ID: "r1", names.WORKER_ID: "w1"}, False),
+        ({names.REQUEST_ID: "r2", names.WORKER_ID: "w0"}, False),
+        ({names.WORKER_ID: "w0"}, False),
+    ],
+)
+def test_an_answer_belongs_to_the_request_that_it_names(headers, belongs):
+    """An answer to an earlier request could come late."""
+    made = attempt.Attempts(mock.Mock(translator=ingress.HeaderTranslator()))
+    run = mock.Mock(call=mock.Mock(id="r1"))
+    exchange = mock.Mock(headers=headers)
+    assert made._belongs(run, parts.worker("w0"), exchange) is belongs
+
+
+@pytest.mark.parametrize("named", ["m0", "w0", "m1", "unknown"])
+async def test_a_member_that_a_head_names_in_a_503_is_suspected(named):
+    """Waiting for the stall to show costs each further request."""
+    async with world(split=(("chat", 1.0),)) as made:
+        for number, one in enumerate(made.workers):
+            group = f"g{number}"
+            made.known.add(
+                parts.worker(one.id, group, 0, address=one.address),
+                parts.worker(f"m{number}", group, 1),
+            )
+        made.workers[0].at_fault = named
+        made.known.evidence.suspect("w1")
+        await made.call(model="small")
+        # A group's head can't accuse the members of another group.
+        expected = {named, "w0"} if named in ("m0", "w0") else set()
+        found = made.known.evidence.suspects()
+        assert {one for one in found if one != "w1"} == expected
+        made.known.evidence.heard("w1")
+        able = made.known.choices.able(parts.ENGINE, "small")
+        assert [one.id for one in able][-1] == "w1"
+        assert len(able) == (1 if expected else 2)
+
+
 async def test_work_ends_when_the_caller_leaves():
     """A slot at the worker would stay taken for nobody."""
     async with world(1, **STREAMING) as made:
