Share one reader of the workers' topic in a zone

Each gateway read the workers' topic for itself, 254 B/s a worker, which is most of a gateway's traffic.

A subscriber counts a batch as answered by the store at the time that it sent its request plus the time that the reader measured from there to the store's response, which is never later than the response. At an age of 800 ms it reads for itself. A gateway that has subscribers always reads, so gateways may disagree about the reader. Records that only repeat what is known are not forwarded; of a cold start, the end counts.

A key that is dropped because a whole read lacks it now has the offset of that read, since a subscriber may know a later record of the key than its reader.

--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -23,6 +23,7 @@
     load,
     peers,
     pipeline,
+    reading,
     sending,
     state,
     waiting,
@@ -101,6 +102,8 @@
             self.telemetry,
         )
         self.telemetry.watch(self.known, self.feeds, self.peers.live)
+        self.reading = self._reading()
+        self.peers.handlers[reading.SUBSCRIBE] = self.reading.publisher.serve
         self.retries = budget.RetryBudget(
             self.clock,
             config.limits.retry_ratio,
@@ -182,6 +185,27 @@
             )
         )
 
+    def _reading(self) -> reading.Reading:
+        entry, silence_ms = (
+            self.config.entry,
+            self.config.store.reader_silence_ms,
+        )
+        return reading.Reading(
+            self.feeds["workers"],
+            reading.Candidates(
+                entry.id,
+                entry.zone,
+                self.clock,
+                self.feeds,
+                self.peers.live,
+                lambda: self.leaving,
+                silence_ms,
+            ),
+            self.clock,
+            reading.connector(self.config.peers.port),
+            silence_ms,
+        )
+
     async def on_start(self) -> None:
         """Opens the listeners and starts one task for each peer and feed."""
         await self.sender.start()
@@ -190,6 +214,7 @@
         for run in (
             *(followed.run for followed in self.feeds.values()),
             self.peers.run,
+            self.reading.run,
             self.duties.run,
             self.keeper.run,
             self._announce,
@@ -204,6 +229,7 @@
 
     async def on_shutdown(self) -> None:
         """Closes what the parts used."""
+        self.reading.close()
         await self.peers.close()
         await self.sender.close()
         await self.telemetry.close()
@@ -232,6 +258,11 @@
             "version": current.version if current else None,
             "store_age_ms": {n: f.age_ms() for n, f in self.feeds.items()},
             "peers": sorted(self.peers.live),
+            "reader": (
+                self.reading.source.peer.id
+                if self.reading.source and self.reading.follows()
+                else self.config.entry.id
+            ),
             "evacuated": sorted(self.known.evacuated),
             "workers": len(self.known.workers),
             "skipped_records": self.known.skipped,
@@ -290,6 +321,7 @@
         live = frozenset(self.peers.live)
         self.loads.retain_peers(live)
         self.demand.retain_peers(live)
+        self.reading.candidates.retain_peers(live)
         self.keeper.capacity.retain_peers(live)
         self.evidence.retain_peers(
             live, frozenset((*self.known.workers, *self.known.absent))
@@ -297,6 +329,7 @@
         return {
             "ready": self.ready(),
             "leaving": self.leaving,
+            "store_answers": self.reading.candidates.fit(),
             "in_flight": dict(self.loads.own),
             "demand": self.demand.own,
             "suspects": self.evidence.suspects(),
@@ -309,6 +342,9 @@
 
     def _heard(self, peer: peers.Peer, body: Mapping[str, Any]) -> None:
         """Takes what a peer says in its heartbeat."""
+        self.reading.candidates.update_peer(
+            peer.id, reading.from_heartbeat(body)
+        )
         self.loads.update_peer(peer.id, dict(body["in_flight"]))
         self.demand.update_peer(peer.id, dict(body["demand"]))
         self.evidence.update_peer(
--- a/oleanderbay/gateway/feed.py
+++ b/oleanderbay/gateway/feed.py
@@ -1,6 +1,6 @@
 """Follows one keyed topic of the store."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import structlog
 
@@ -15,7 +15,12 @@
 
 log = structlog.get_logger()
 
-Change = Callable[[interfaces.KeyedRecord], None]
+# Takes a new record; True says that it only repeats what was known.
+Change = Callable[[interfaces.KeyedRecord], bool | None]
+
+
+async def _at_once() -> None:
+    """Lets a feed read whenever its interval has passed."""
 
 
 class Feed:
@@ -25,8 +30,16 @@
         topic: The topic that is followed.
         offset: Offset of the next record to come; -1 before the first answer.
         latest: Newest record by key; a dropped key is kept without a value.
-        answered_ms: Monotonic time of the store's last answer; -1 for never.
+        answered_ms: Monotonic time of the store's last answer, to this gateway
+            or to the one that it follows; -1 for never.
+        read_ms: Monotonic time of the last answer to an own read.
+        failed_ms: Monotonic time of the last own read that failed.
+        answers: Number of answered own reads.
+        whole_offset: Offset from which on all dropped keys are known; -1
+            before the first whole read.
         steady_since_ms: Since when the store has answered without a gap.
+        turn: Returns when the feed has to read the store itself.
+        after_read: Called after each answered own read.
     """
 
     def __init__(
@@ -47,8 +60,15 @@
         self.offset = -1
         self.latest: dict[str, interfaces.KeyedRecord] = {}
         self.answered_ms = -1
+        self.read_ms = -1
+        self.failed_ms = -1
+        self.answers = 0
+        self.whole_offset = -1
         self.steady_since_ms = -1
+        self.turn: Callable[[], Awaitable[None]] = _at_once
+        self.after_read: Callable[[], None] = lambda: None
         self._failing = False
+        self._changed_at: dict[str, int] = {}
 
     async def run(self) -> None:
         """Follows the topic until cancelled."""
@@ -57,6 +77,8 @@
         whole = True
         while True:
             more = False
+            if not whole:
+                await self.turn()
             try:
                 if whole:
                     self.replace(await self.store.newest(self.topic))
@@ -65,9 +87,11 @@
                     page = await self.store.read(
                         self.topic, max(0, self.offset), self.wait_ms
                     )
-                    self.merge(page.records, page.end_offset)
+                    # A batch or a peer's answer may have overtaken this read.
+                    if page.end_offset >= self.offset:
+                        self.merge(page.records, page.end_offset)
                     more = page.more
-                self._answered()
+                self._own_read()
             except interfaces.HistoryGoneError:
                 whole = True
                 continue
@@ -79,6 +103,7 @@
                         error=str(error),
                     )
                 self._failing = True
+                self.failed_ms = self.clock.now_ms()
                 await self.clock.sleep_ms(RETRY_MS)
                 continue
             # One read holds a limited size; a feed that waited after each
@@ -93,14 +118,39 @@
         return self.clock.now_ms() - self.answered_ms
 
     def since(self, offset: int) -> tuple[interfaces.KeyedRecord, ...]:
-        """Returns the newest records from an offset on."""
+        """Returns the newest record of each key that changed from there on.
+
+        A record that only repeats an earlier one is no change.
+        """
         return tuple(
             sorted(
-                (r for r in self.latest.values() if r.offset >= offset),
+                (
+                    self.latest[key]
+                    for key, changed_at in self._changed_at.items()
+                    if changed_at >= offset
+                ),
                 key=lambda record: record.offset,
             )
         )
 
+    def hear(
+        self, page: interfaces.Page, whole: bool, answered_ms: int
+    ) -> None:
+        """Applies what the store answered to another gateway.
+
+        Args:
+            page: Records that this feed lacks, or the whole topic.
+            whole: Whether it is the whole topic.
+            answered_ms: When the other gateway had the answer, at the latest.
+        """
+        # A gateway that is behind this one has nothing new.
+        if page.end_offset >= self.offset:
+            if whole:
+                self.replace(page)
+            else:
+                self.merge(page.records, page.end_offset)
+        self._answered(answered_ms)
+
     def merge(
         self, records: Iterable[interfaces.KeyedRecord], end_offset: int
     ) -> None:
@@ -109,8 +159,7 @@
             known = self.latest.get(record.key)
             if known is not None and known.offset >= record.offset:
                 continue
-            self.latest[record.key] = record
-            self.changed(record)
+            self._apply(record)
         self.offset = max(self.offset, end_offset)
 
     def replace(self, page: interfaces.Page) -> None:
@@ -122,24 +171,43 @@
                 and known.value is not None
                 and known.offset < page.end_offset
             ):
-                dropped = interfaces.KeyedRecord(known.offset, key, None)
-                self.latest[key] = dropped
-                self.changed(dropped)
+                # Gateways that follow this one may know later records of the
+                # key than this one did.
+                self._apply(
+                    interfaces.KeyedRecord(page.end_offset - 1, key, None)
+                )
         self.merge(page.records, page.end_offset)
+        self.whole_offset = self.offset
 
     def steady_ms(self) -> int:
         """Returns for how long the store has answered without a gap."""
-        if self.answered_ms < 0 or self.age_ms() > self._gap_ms():
+        if self.answered_ms < 0 or self.age_ms() > self.gap_ms():
             return 0
         return self.clock.now_ms() - self.steady_since_ms
 
-    def _gap_ms(self) -> int:
+    def gap_ms(self) -> int:
+        """Returns the time between two answers that counts as a gap."""
         return GAP_MS + self.wait_ms + self.interval_ms
 
-    def _answered(self) -> None:
-        if self.answered_ms < 0 or self.age_ms() > self._gap_ms():
-            self.steady_since_ms = self.clock.now_ms()
-        self.answered_ms = self.clock.now_ms()
+    def _apply(self, record: interfaces.KeyedRecord) -> None:
+        known = record.key in self.latest
+        self.latest[record.key] = record
+        if not self.changed(record) or not known:
+            self._changed_at[record.key] = record.offset
+
+    def _answered(self, answered_ms: int) -> None:
+        if (
+            self.answered_ms < 0
+            or answered_ms - self.answered_ms > self.gap_ms()
+        ):
+            self.steady_since_ms = answered_ms
+        self.answered_ms = max(self.answered_ms, answered_ms)
+
+    def _own_read(self) -> None:
+        self.read_ms = self.clock.now_ms()
+        self._answered(self.read_ms)
+        self.answers += 1
+        self.after_read()
         if self._failing:
             log.info("store answers again", topic=self.topic.value)
         self._failing = False
--- a/oleanderbay/gateway/peers.py
+++ b/oleanderbay/gateway/peers.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import msgpack
@@ -74,6 +74,11 @@
 
 Contents = Callable[[], dict[str, Any]]
 Heard = Callable[[Peer, Mapping[str, Any]], None]
+# Serves a connection from its first frame on; the connection is then closed.
+Handler = Callable[
+    [frames.Frame, asyncio.StreamReader, asyncio.StreamWriter],
+    Awaitable[None],
+]
 
 
 class _Datagrams(asyncio.DatagramProtocol):
@@ -96,6 +101,7 @@
         start_id: This run of the process.
         live: Peers that were heard from lately, by id.
         addresses: Hosts at which gateways were seen, with the id there.
+        handlers: What serves connections, by the kind of their first frame.
     """
 
     def __init__(
@@ -117,6 +123,7 @@
         self.contents = contents
         self.heard = heard
         self.live: dict[str, Peer] = {}
+        self.handlers: dict[str, Handler] = {RECORDS: self._serve_records}
         self.addresses: dict[str, str] = {
             seed.partition(":")[0]: "" for seed in config.peers.seeds
         }
@@ -393,18 +400,7 @@
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000):
                 asked = await frames.read(reader)
-                name, offset = asked.body
-                own = self.feeds[name]
-                records = [
-                    [record.offset, record.key, record.value]
-                    for record in own.since(int(offset))
-                ]
-                writer.write(
-                    frames.encode(
-                        RECORDS, asked.request_id, [records, own.offset]
-                    )
-                )
-                await writer.drain()
+            await self.handlers[asked.kind](asked, reader, writer)
         except (
             TimeoutError,
             OSError,
@@ -416,3 +412,21 @@
             log.debug("peer's request failed", error=repr(error))
         finally:
             writer.close()
+
+    async def _serve_records(
+        self,
+        asked: frames.Frame,
+        _: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        name, offset = asked.body
+        own = self.feeds[name]
+        records = [
+            [record.offset, record.key, record.value]
+            for record in own.since(int(offset))
+        ]
+        writer.write(
+            frames.encode(RECORDS, asked.request_id, [records, own.offset])
+        )
+        async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000):
+            await writer.drain()
--- a/oleanderbay/gateway/settings.py
+++ b/oleanderbay/gateway/settings.py
@@ -101,6 +101,10 @@
         timeout_ms: Time for one call, without the wait of a read.
         wait_ms: How long a read of the configuration waits there.
         worker_interval_ms: Time between reads of the workers' records.
+        reader_silence_ms: Age of the zone's reader's last answer from the
+            store at which a gateway reads the workers' records itself; it
+            should exceed `worker_interval_ms` by some reads. With 0 each
+            gateway always reads for itself.
         ownership_ttl_ms: Time after which a silent owner loses its domains.
         join_interval_ms: Time between confirmations of ownership.
     """
@@ -110,6 +114,7 @@
     timeout_ms: int = _ms(500)
     wait_ms: int = _ms(2_000, low=0)
     worker_interval_ms: int = _ms(500)
+    reader_silence_ms: int = _ms(800, low=0)
     ownership_ttl_ms: int = _ms(1_500)
     join_interval_ms: int = _ms(500)
 
--- a/oleanderbay/gateway/state.py
+++ b/oleanderbay/gateway/state.py
@@ -1,5 +1,6 @@
 """The configuration in force and the fleet of workers."""
 
+import dataclasses
 from collections.abc import Iterable
 
 import structlog
@@ -7,6 +8,10 @@
 from oleanderbay.gateway import interfaces, table, workers
 from oleanderbay.process import clock as clocks
 
+# Records arrive up to one interval of reads after they were written, so the
+# end of a cold start that they tell varies by that much.
+COLD_TOLERANCE_MS = 500
+
 log = structlog.get_logger()
 
 
@@ -60,8 +65,14 @@
         self.revision += 1
         log.info("zones without new work", zones=sorted(self.evacuated))
 
-    def worker_changed(self, record: interfaces.KeyedRecord) -> None:
-        """Applies a record of the workers' topic."""
+    def worker_changed(self, record: interfaces.KeyedRecord) -> bool:
+        """Applies a record of the workers' topic.
+
+        Returns:
+            Whether it only repeats the last record of its worker. All fields
+            of a worker count, since choices, groups and repairs read them,
+            except for the remaining cold time: of that, the end counts.
+        """
         if record.value is None:
             gone = self.workers.pop(record.key, None)
             if gone is not None:
@@ -71,19 +82,21 @@
                 if membership and membership.rank and not gone.draining:
                     self.absent[gone.id] = gone
             self.cold_until_ms.pop(record.key, None)
-            return
+            return gone is None
         worker = self.decoder.worker(record.key, record.value)
         if isinstance(worker, str):
             self._skip(record.key, worker)
-            if self.workers.pop(record.key, None) is not None:
-                self.revision += 1
-            return
-        if worker.cold_ms > 0:
-            self.cold_until_ms[worker.id] = self.clock.now_ms() + worker.cold_ms
-        else:
-            self.cold_until_ms.pop(worker.id, None)
+            if self.workers.pop(record.key, None) is None:
+                return True
+            self.revision += 1
+            return False
         self.absent.pop(worker.id, None)
         before = self.workers.get(worker.id)
+        repeats = self._repeats(before, worker)
+        if worker.cold_ms <= 0:
+            self.cold_until_ms.pop(worker.id, None)
+        elif not repeats:
+            self.cold_until_ms[worker.id] = self.clock.now_ms() + worker.cold_ms
         if before is None or before.born_ms != worker.born_ms:
             log.info(
                 "worker registered", worker=worker.id, domain=worker.domain
@@ -91,6 +104,7 @@
         if before != worker:
             self.workers[worker.id] = worker
             self.revision += 1
+        return repeats
 
     def groups(self) -> dict[tuple[str, int], workers.Group]:
         """Returns the groups that the workers report, by name and epoch."""
@@ -121,6 +135,21 @@
         until_ms = self.cold_until_ms.get(worker.id)
         return until_ms is not None and self.clock.now_ms() < until_ms
 
+    def _repeats(
+        self, before: workers.Worker | None, worker: workers.Worker
+    ) -> bool:
+        if worker.cold_ms <= 0:
+            return before == worker
+        # Compared with what was last told to others, so that small shifts
+        # don't add up unnoticed.
+        until_ms = self.cold_until_ms.get(worker.id)
+        if before is None or until_ms is None:
+            return False
+        shift_ms = self.clock.now_ms() + worker.cold_ms - until_ms
+        return abs(shift_ms) <= COLD_TOLERANCE_MS and worker == (
+            dataclasses.replace(before, cold_ms=worker.cold_ms)
+        )
+
     def _configure(self, record: interfaces.KeyedRecord) -> None:
         if record.value is None or record.offset <= self.table_offset:
             return
