Log failovers and test what repeats

Mutations of the feed and the state survived: a dropped worker that counted as a repetition was noticed by no test. A subscriber's connection is dropped after a constant time, since a gateway that shares no reader may still have subscribers. The end-to-end test waits until both gateways have one reader.

--- a/bench/sharing.py
+++ b/bench/sharing.py
@@ -208,7 +208,7 @@
         for number in range(workers)
     ]
     followed.replace(interfaces.Page(tuple(found), workers))
-    publisher = reading.Publisher(followed, clock, SILENCE_MS)
+    publisher = reading.Publisher(followed, clock)
 
     def pack() -> None:
         followed.answers += 1
--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -1,5 +1,7 @@
 """One gateway: its parts, its start and its graceful stop."""
 
+import asyncio
+import functools
 import json
 import random
 import uuid
@@ -202,7 +204,9 @@
                 silence_ms,
             ),
             self.clock,
-            reading.connector(self.config.peers.port),
+            functools.partial(
+                asyncio.open_connection, port=self.config.peers.port
+            ),
             silence_ms,
         )
 
@@ -329,7 +333,7 @@
         return {
             "ready": self.ready(),
             "leaving": self.leaving,
-            "store_answers": self.reading.candidates.fit(),
+            reading.STORE_ANSWERS: self.reading.candidates.fit(),
             "in_flight": dict(self.loads.own),
             "demand": self.demand.own,
             "suspects": self.evidence.suspects(),
@@ -342,9 +346,7 @@
 
     def _heard(self, peer: peers.Peer, body: Mapping[str, Any]) -> None:
         """Takes what a peer says in its heartbeat."""
-        self.reading.candidates.update_peer(
-            peer.id, reading.from_heartbeat(body)
-        )
+        self.reading.candidates.update_peer(peer.id, body)
         self.loads.update_peer(peer.id, dict(body["in_flight"]))
         self.demand.update_peer(peer.id, dict(body["demand"]))
         self.evidence.update_peer(
--- a/oleanderbay/gateway/reading.py
+++ b/oleanderbay/gateway/reading.py
@@ -18,11 +18,16 @@
 from oleanderbay.process import clock as clocks
 
 SUBSCRIBE = "subscribe"
+# Field of a heartbeat; see `Candidates.fit`.
+STORE_ANSWERS = "store_answers"
 # Longest time between two reviews of who reads.
 STEP_MS = 100
 # Time between connections to a reader, so that one that is in reach of
 # heartbeats only does not cost a connection in each step.
 RETRY_MS = 500
+# A subscriber asks for the next batch at once; without a request for this long
+# its connection may be cut off, which would never end by itself.
+UNASKED_MS = 1_600
 
 log = structlog.get_logger()
 
@@ -79,9 +84,12 @@
         # A subscriber only hears from the store after its longest wait.
         return age_ms <= max(followed.gap_ms() for followed in feeds)
 
-    def update_peer(self, peer_id: str, fit: bool) -> None:
-        """Takes whether the store answers a peer."""
-        if fit:
+    def update_peer(self, peer_id: str, body: Mapping[str, Any]) -> None:
+        """Takes from a heartbeat whether the store answers a peer.
+
+        Gateways of an earlier version don't say it and serve no subscribers.
+        """
+        if body.get(STORE_ANSWERS, False):
             self._fit.add(peer_id)
         else:
             self._fit.discard(peer_id)
@@ -119,15 +127,11 @@
 
     Attributes:
         followed: The feed whose records are served.
-        silence_ms: Time without a request after which a subscriber is dropped.
     """
 
-    def __init__(
-        self, followed: feed.Feed, clock: clocks.Clock, silence_ms: int
-    ) -> None:
+    def __init__(self, followed: feed.Feed, clock: clocks.Clock) -> None:
         self.followed = followed
         self.clock = clock
-        self.silence_ms = silence_ms
         # When a subscriber was sent its last batch; None while it waits.
         self._sent_ms: dict[asyncio.StreamWriter, int | None] = {}
         self._next = asyncio.Event()
@@ -143,8 +147,7 @@
         """Lets subscribers have what the store just answered."""
         now_ms = self.clock.now_ms()
         for writer, sent_ms in self._sent_ms.items():
-            if sent_ms is not None and now_ms - sent_ms > self.silence_ms:
-                # A connection that was cut off would never end by itself.
+            if sent_ms is not None and now_ms - sent_ms > UNASKED_MS:
                 writer.transport.abort()
         waiting, self._next = self._next, asyncio.Event()
         waiting.set()
@@ -308,7 +311,7 @@
         self.clock = clock
         self.connect = connect
         self.silence_ms = silence_ms
-        self.publisher = Publisher(followed, clock, 2 * silence_ms)
+        self.publisher = Publisher(followed, clock)
         self.source: Subscription | None = None
         self._retry_ms = 0
         followed.turn = self.turn
@@ -327,10 +330,14 @@
 
     async def turn(self) -> None:
         """Returns when this gateway has to read the store itself."""
+        peer_id = ""
         while self.follows():
             assert self.source is not None
+            peer_id = self.source.peer.id
             left_ms = self.silence_ms - self._age_ms(self.source) + 1
             await self.clock.sleep_ms(min(left_ms, STEP_MS))
+        if peer_id:
+            log.info("reader not followed", peer=peer_id)
 
     def follows(self) -> bool:
         """Whether the records of a reader replace own reads now.
@@ -379,22 +386,3 @@
         if self.source is not None:
             self.source.close()
             self.source = None
-
-
-def connector(port: int) -> Connect:
-    """Returns what connects to the peers' port of a host."""
-
-    async def connect(
-        host: str,
-    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        return await asyncio.open_connection(host, port)
-
-    return connect
-
-
-def from_heartbeat(body: Mapping[str, Any]) -> bool:
-    """Whether a peer says that the store answers it.
-
-    Gateways of an earlier version don't say it and serve no subscribers.
-    """
-    return bool(body.get("store_answers", False))
--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -159,6 +159,7 @@
 async def test_streams_survive_a_lost_member_and_a_graceful_stop(site):
     """The parts must work together, not only alone."""
     one, two = site.gateways
+    await parts.until(lambda: one.status()["reader"] == two.status()["reader"])
     assert await site.call(one, "/stream/a") == (200, STREAM)
 
     # The head of a group that lost a member accepts but writes no further.
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -93,3 +93,42 @@
     assert [change.key for change in changes] == ["a", "b"]
     assert made.since(3) == (RECORD(5, "a", b"1"),)
     task.cancel()
+
+
+def test_a_repetition_is_no_change_to_others():
+    """Each heartbeat of a worker would be sent to the whole zone."""
+    made = feed.Feed(
+        parts.Store(),
+        interfaces.Topic.WORKERS,
+        clocks.ManualClock(),
+        lambda record: record.value != b"new",
+        0,
+        500,
+    )
+    made.merge([RECORD(1, "a", b"1"), RECORD(2, "b", b"1")], 3)
+    made.merge([RECORD(4, "a", b"1"), RECORD(5, "b", b"new")], 6)
+    assert made.since(0) == (RECORD(4, "a", b"1"), RECORD(5, "b", b"new"))
+    assert made.since(2) == (RECORD(5, "b", b"new"),)
+
+
+def test_a_key_dropped_by_a_whole_read_is_dropped_for_others():
+    """One that follows may know a later record than the reader did."""
+    made, _ = followed(parts.Store(), clocks.ManualClock())
+    follower, changes = followed(parts.Store(), clocks.ManualClock())
+    made.replace(page(3, (1, "a", b"1")))
+    follower.merge([RECORD(5, "a", b"2")], 6)
+    made.replace(page(9))
+    follower.hear(interfaces.Page(made.since(6), 9), False, 0)
+    assert changes[-1].value is None and made.whole_offset == 9
+
+
+def test_what_others_heard_earlier_changes_nothing():
+    """A reader that is behind, or was held up, would make a feed older."""
+    clock = clocks.ManualClock()
+    made, changes = followed(parts.Store(), clock)
+    clock.set_ms(5_000)
+    made.hear(page(9, (8, "a", b"new")), True, 4_000)
+    made.hear(page(7, (6, "b", b"old")), False, 3_000)
+    made.hear(page(7, (6, "b", b"old")), True, 3_000)
+    assert [c.key for c in changes] == ["a"] and made.age_ms() == 1_000
+    assert made.steady_ms() == 1_000
--- a/tests/gateway/test_reading.py
+++ b/tests/gateway/test_reading.py
@@ -159,6 +159,9 @@
     await site.put("w1", cold_remaining_ms=60_000)
     await site.advance(1_000)
     assert known.cold_until_ms["w1"] > until_ms + 1_000
+    await site.put("w2", gone=True)
+    await site.advance(600)
+    assert "w2" not in known.workers and following[0].gateway.reading.follows()
 
 
 def pause(site, reader, others):
@@ -414,10 +417,9 @@
 async def test_a_gateway_of_an_earlier_version_is_not_followed(site):
     """It closes the connection of a subscriber."""
     reader, (one, two) = site.split()
-    assert not reading.from_heartbeat({})
     for node in (one, two):
         node.gateway.reading.candidates.update_peer(
-            reader.gateway.config.entry.id, reading.from_heartbeat({})
+            reader.gateway.config.entry.id, {}
         )
         chosen = node.gateway.reading.candidates.reader()
         assert chosen is None or chosen.host != reader.host
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -73,3 +73,24 @@
             interfaces.KeyedRecord(offset, key, value)
         )
     assert known.state.evacuated == {"z2"}
+
+
+def test_what_only_repeats_the_last_record_is_told():
+    """Others would not hear of a drain, or hear each heartbeat."""
+    known = parts.Known()
+
+    def repeats(made, key="a"):
+        return known.state.worker_changed(known.decoder.record(9, key, made))
+
+    ready, cold = parts.worker("a"), parts.worker("a", cold_ms=2_000)
+    assert not repeats(ready) and repeats(ready)
+    assert not repeats(parts.worker("a", draining=True))
+    assert not repeats(cold)
+    known.clock.set_ms(600)
+    assert repeats(parts.worker("a", cold_ms=1_400))
+    assert not repeats(cold) and not repeats(parts.worker("a", cold_ms=900))
+    assert not repeats(ready) and not repeats("damaged") and repeats("damaged")
+    assert not repeats(ready)
+    dropped = interfaces.KeyedRecord(10, "a", None)
+    assert not known.state.worker_changed(dropped)
+    assert known.state.worker_changed(dropped)
