--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -1,5 +1,7 @@
 """One gateway: its parts, its start and its graceful stop."""
 
+import asyncio
+import functools
 import json
 import random
 import uuid
@@ -24,6 +26,7 @@
     peers,
     pipeline,
     pool,
+    reading,
     sending,
     state,
     waiting,
@@ -102,6 +105,8 @@
             self.telemetry,
         )
         self.telemetry.watch(self.known, self.feeds, self.peers.live)
+        self.reading = self._reading()
+        self.peers.handlers[reading.SUBSCRIBE] = self.reading.publisher.serve
         self.retries = budget.RetryBudget(
             self.clock,
             config.limits.retry_ratio,
@@ -193,6 +198,29 @@
             )
         )
 
+    def _reading(self) -> reading.Reading:
+        entry, silence_ms = (
+            self.config.entry,
+            self.config.store.reader_silence_ms,
+        )
+        return reading.Reading(
+            self.feeds["workers"],
+            reading.Candidates(
+                entry.id,
+                entry.zone,
+                self.clock,
+                self.feeds,
+                self.peers.live,
+                lambda: self.leaving,
+                silence_ms,
+            ),
+            self.clock,
+            functools.partial(
+                asyncio.open_connection, port=self.config.peers.port
+            ),
+            silence_ms,
+        )
+
     async def on_start(self) -> None:
         """Opens the listeners and starts one task for each peer and feed."""
         await self.sender.start()
@@ -201,6 +229,7 @@
         for run in (
             *(followed.run for followed in self.feeds.values()),
             self.peers.run,
+            self.reading.run,
             self.duties.run,
             self.keeper.run,
             self._announce,
@@ -215,6 +244,7 @@
 
     async def on_shutdown(self) -> None:
         """Closes what the parts used."""
+        self.reading.close()
         await self.peers.close()
         await self.sender.close()
         await self.telemetry.close()
@@ -243,6 +273,11 @@
             "version": current.version if current else None,
             "store_age_ms": {n: f.age_ms() for n, f in self.feeds.items()},
             "peers": sorted(self.peers.live),
+            "reader": (
+                self.reading.source.peer.id
+                if self.reading.source and self.reading.follows()
+                else self.config.entry.id
+            ),
             "evacuated": sorted(self.known.evacuated),
             "workers": len(self.known.workers),
             "skipped_records": self.known.skipped,
@@ -301,6 +336,7 @@
         live = frozenset(self.peers.live)
         self.loads.retain_peers(live)
         self.demand.retain_peers(live)
+        self.reading.candidates.retain_peers(live)
         self.keeper.capacity.retain_peers(live)
         self.evidence.retain_peers(
             live, frozenset((*self.known.workers, *self.known.absent))
@@ -308,6 +344,7 @@
         return {
             "ready": self.ready(),
             "leaving": self.leaving,
+            reading.STORE_ANSWERS: self.reading.candidates.fit(),
             "in_flight": dict(self.loads.own),
             "demand": self.demand.own,
             "suspects": self.evidence.suspects(),
@@ -320,6 +357,7 @@
 
     def _heard(self, peer: peers.Peer, body: Mapping[str, Any]) -> None:
         """Takes what a peer says in its heartbeat."""
+        self.reading.candidates.update_peer(peer.id, body)
         self.loads.update_peer(peer.id, dict(body["in_flight"]))
         self.demand.update_peer(peer.id, dict(body["demand"]))
         self.evidence.update_peer(
