Exchange summaries between zones above eight gateways

Each gateway sent its heartbeat to every other one, so that traffic between zones grew with the square of the fleet: 411 MB in 46 s at 101 gateways.

With more than peers.full_mesh_gateways (8) known gateways, heartbeats stay within the zone. Two relays of each zone, chosen by rendezvous hashing, send the sums and the list of their zone to the relays of the other zones, and the first relay forwards what it receives to its own zone.

Tests run 15 to 33 gateways without sockets: loss of one and of both relays, a cut between zones, planned stops, lost datagrams, gateways that disagree about the limit, and a start of all at once.

--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -214,11 +214,7 @@
 
     def addresses(self) -> list[str]:
         """Returns the callers' addresses of the gateways that are ready."""
-        found = [
-            peer.callers
-            for peer in self.peers.live.values()
-            if peer.ready and not peer.leaving
-        ]
+        found = self.peers.members.callers()
         if self.ready():
             found.append(self.config.listeners.callers)
         return found
@@ -231,7 +227,7 @@
             "ready": self.ready(),
             "version": current.version if current else None,
             "store_age_ms": {n: f.age_ms() for n, f in self.feeds.items()},
-            "peers": sorted(self.peers.live),
+            "peers": sorted(self.peers.members.ids()),
             "evacuated": sorted(self.known.evacuated),
             "workers": len(self.known.workers),
             "skipped_records": self.known.skipped,
@@ -287,7 +283,7 @@
 
     def _contents(self) -> dict[str, Any]:
         """Returns what the next heartbeat says of this gateway."""
-        live = frozenset(self.peers.live)
+        live = self.peers.members.sources()
         self.loads.retain_peers(live)
         self.demand.retain_peers(live)
         self.keeper.capacity.retain_peers(live)
@@ -307,15 +303,17 @@
             "serving": self.demand.begun,
         }
 
-    def _heard(self, peer: peers.Peer, body: Mapping[str, Any]) -> None:
-        """Takes what a peer says in its heartbeat."""
-        self.loads.update_peer(peer.id, dict(body["in_flight"]))
-        self.demand.update_peer(peer.id, dict(body["demand"]))
+    def _heard(self, source: str, body: Mapping[str, Any]) -> None:
+        """Takes what a peer or the relay of another zone says."""
+        self.loads.update_peer(
+            source, dict(body["in_flight"]), int(body.get("busy", 1))
+        )
+        self.demand.update_peer(source, dict(body["demand"]))
         self.evidence.update_peer(
-            peer.id, body["suspects"], body["sound"], dict(body["lost"])
+            source, body["suspects"], body["sound"], dict(body["lost"])
         )
         self.keeper.capacity.update_peer(
-            peer.id, int(body["loads_begun"]), dict(body["planned"])
+            source, int(body["loads_begun"]), dict(body["planned"])
         )
         if body["serving"]:
             self.demand.begun = True
--- a/oleanderbay/gateway/load.py
+++ b/oleanderbay/gateway/load.py
@@ -16,6 +16,7 @@
         self.own: collections.Counter[str] = collections.Counter()
         self.others: collections.Counter[str] = collections.Counter()
         self._by_peer: dict[str, Mapping[str, int]] = {}
+        self._busy: dict[str, int] = {}
 
     def started(self, worker_id: str) -> None:
         """Counts a request that is being sent."""
@@ -39,13 +40,23 @@
         """
         own = sum(self.own[worker_id] for worker_id in worker_ids)
         total = own + sum(self.others[worker_id] for worker_id in worker_ids)
-        return max(own, total / (1 + len(self._by_peer)))
+        return max(own, total / (1 + sum(self._busy.values())))
 
-    def update_peer(self, peer_id: str, counts: Mapping[str, int]) -> None:
-        """Takes the counts of a peer in place of its earlier ones."""
+    def update_peer(
+        self, peer_id: str, counts: Mapping[str, int], busy: int = 1
+    ) -> None:
+        """Takes the counts of a peer in place of its earlier ones.
+
+        Args:
+            peer_id: The peer, or the zone whose sums these are.
+            counts: Requests by worker id.
+            busy: Gateways that have such requests.
+        """
         self.others.subtract(self._by_peer.pop(peer_id, {}))
+        self._busy.pop(peer_id, None)
         if counts:
             self._by_peer[peer_id] = counts
+            self._busy[peer_id] = busy
             self.others.update(counts)
         self.others = +self.others
 
--- /dev/null
+++ b/oleanderbay/gateway/relays.py
@@ -0,0 +1,309 @@
+"""Which gateways get heartbeats, and which ones speak for their zone."""
+
+import collections
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Any
+
+import msgpack
+import xxhash
+
+from oleanderbay.gateway import membership, summaries
+from oleanderbay.gateway import settings as settings_module
+
+# Silent addresses are tried this often, in heartbeats.
+SILENT_EVERY = 10
+# Addresses of each zone without a summary that are tried at once. All
+# gateways of the own zone try different ones.
+PROBES = 2
+# Forwarded summaries share datagrams up to this size. A datagram is lost with
+# any of its fragments, so that larger ones would be lost more often.
+BATCH_BYTES = 8_192
+
+
+class Relays:
+    """Decides to whom heartbeats and summaries go."""
+
+    def __init__(
+        self,
+        config: settings_module.Settings,
+        members: membership.Membership,
+        leaving: Callable[[], bool],
+    ) -> None:
+        self.config = config
+        self.members = members
+        self.leaving = leaving
+
+    def summarizing(self) -> bool:
+        """Whether so many gateways are known that zones exchange summaries."""
+        return self.members.known() > self.config.peers.full_mesh_gateways
+
+    def own_zone(self) -> list[membership.Peer]:
+        """Returns the live peers of the own zone."""
+        own = self.config.entry.zone
+        return [p for p in self.members.live.values() if p.zone == own]
+
+    def own_relays(self) -> list[str]:
+        """Returns the ids of the own zone's relays, the first one first.
+
+        Gateways that still send to all others, since they know few gateways
+        or are of an earlier version, send no summaries.
+        """
+        able = [(p.id, p.summarized) for p in self.own_zone() if not p.leaving]
+        if not self.leaving():
+            able.append((self.config.entry.id, self.summarizing()))
+        ids = [one for one, summarizing in able if summarizing]
+        return summaries.choose_relays(
+            self.config.entry.zone, ids or [one for one, _ in able]
+        )
+
+    def relaying(self) -> bool:
+        """Whether this gateway sends summaries of its zone."""
+        return self.summarizing() and self.config.entry.id in self.own_relays()
+
+    def forwards(self, view: summaries.View, now_ms: int) -> bool:
+        """Whether this gateway forwards what it receives of a zone.
+
+        Any gateway steps in for the first relay, since a zone whose relays
+        are lost sends to gateways that were relays before.
+        """
+        relays = self.own_relays()
+        if relays and relays[0] == self.config.entry.id:
+            return True
+        first = self.members.live.get(relays[0]) if relays else None
+        interval_ms = max(view.interval_ms, first.interval_ms if first else 0)
+        missed_ms = summaries.MISSED_INTERVALS * interval_ms
+        return now_ms - view.forwarded_ms > missed_ms
+
+    def heartbeat_hosts(self) -> list[str]:
+        """Returns the hosts that get each heartbeat."""
+        own = self.config.entry.zone
+        everywhere = not self.summarizing()
+        # A peer that sends to other zones itself, since it knows few gateways
+        # or is of an earlier version, hears of this one in no other way.
+        return [
+            peer.host
+            for peer in self.members.live.values()
+            if everywhere or peer.zone == own or not peer.summarized
+        ]
+
+    def silent_hosts(self, sequence: int) -> list[str]:
+        """Returns the hosts that get the heartbeats for silent addresses."""
+        skipped = {self.config.entry.host, *self.heartbeat_hosts()}
+        silent = [h for h in self.members.addresses if h not in skipped]
+        if not self.summarizing():
+            return silent
+        located = {p.host: p.zone for p in self.members.seen.values()}
+        located |= self.members.zones.located()
+        now_ms = self.members.clock.now_ms()
+        found = []
+        by_zone: dict[str, list[str]] = collections.defaultdict(list)
+        for host in silent:
+            zone = located.get(host)
+            if zone is None or zone == self.config.entry.zone:
+                found.append(host)
+            elif not self.members.zones.fresh(zone, now_ms):
+                by_zone[zone].append(host)
+        for hosts in by_zone.values():
+            found += self._probed(sorted(hosts), sequence // SILENT_EVERY)
+        return found
+
+    def _probed(self, hosts: list[str], turn: int) -> list[str]:
+        own = xxhash.xxh64_intdigest(self.config.entry.id.encode())
+        start = (own + turn * PROBES) % len(hosts)
+        return (hosts[start:] + hosts[:start])[:PROBES]
+
+    def summary_hosts(self) -> list[str]:
+        """Returns the hosts in other zones that get this zone's summary."""
+        now_ms = self.members.clock.now_ms()
+        zones = self.members.zones
+        found = {
+            relay.host: None
+            for view in zones.views.values()
+            for relay in view.relays
+        }
+        # The relays of a zone without a summary may be lost, so peers that
+        # are heard there are told as well.
+        heard: dict[str, dict[str, str]] = collections.defaultdict(dict)
+        for peer in self.members.live.values():
+            if peer.zone != self.config.entry.zone and not zones.fresh(
+                peer.zone, now_ms
+            ):
+                heard[peer.zone][peer.id] = peer.host
+        for zone, hosts in heard.items():
+            for one in summaries.choose_relays(zone, hosts):
+                found[hosts[one]] = None
+        return list(found)
+
+    def links(self, forwarded: int) -> float:
+        """Returns the datagrams of one interval.
+
+        Args:
+            forwarded: Datagrams with summaries to each peer of the own zone.
+        """
+        sent = len(set(self.heartbeat_hosts()))
+        sent += forwarded * len(self.own_zone())
+        if self.relaying():
+            sent += len(self.summary_hosts())
+        return sent + len(self.silent_hosts(0)) / SILENT_EVERY
+
+
+class Outbox:
+    """Builds the summaries that this gateway sends.
+
+    Attributes:
+        pending: Zones whose summary in use has to be forwarded.
+    """
+
+    def __init__(
+        self,
+        config: settings_module.Settings,
+        start_id: str,
+        members: membership.Membership,
+        relays: Relays,
+    ) -> None:
+        self.config = config
+        self.start_id = start_id
+        self.members = members
+        self.relays = relays
+        self.pending: dict[str, None] = {}
+        self._sequence = 0
+        self._lists: dict[str, _ListPacing] = collections.defaultdict(
+            _ListPacing
+        )
+
+    def gateways(
+        self, contents: Mapping[str, Any]
+    ) -> tuple[summaries.Listed, ...]:
+        """Returns the list of the own zone's gateways."""
+        entry = self.config.entry
+        relays = self.relays.own_relays() if self.relays.summarizing() else ()
+        own = summaries.Listed(
+            entry.id,
+            self.start_id,
+            entry.host,
+            self.config.listeners.callers,
+            bool(contents["ready"]),
+            bool(contents["leaving"]),
+            entry.id in relays,
+        )
+        peers = (
+            summaries.Listed(
+                peer.id,
+                peer.start_id,
+                peer.host,
+                peer.callers,
+                peer.ready,
+                peer.leaving,
+                peer.id in relays,
+            )
+            for peer in self.relays.own_zone()
+        )
+        return tuple(sorted((own, *peers), key=lambda one: one.id))
+
+    def changed(self, contents: Mapping[str, Any]) -> bool:
+        """Whether other zones have not been told the list of gateways."""
+        digest = summaries.digest(self.gateways(contents))
+        return self._lists[self.config.entry.zone].digest != digest
+
+    def own(
+        self,
+        contents: Mapping[str, Any],
+        offsets: Mapping[str, int],
+        store_age_ms: int,
+        interval_ms: int,
+        hosts: Iterable[str],
+    ) -> dict[str, Any]:
+        """Returns the next summary of the own zone.
+
+        Args:
+            contents: What this gateway says of requests and workers.
+            offsets: Offsets of its feeds by topic.
+            store_age_ms: Time since the store answered it.
+            interval_ms: Time to the next summary.
+            hosts: Who gets the summary.
+        """
+        peers = self.relays.own_zone()
+        gateways = self.gateways(contents)
+        highest = dict(offsets)
+        for peer in peers:
+            for name, offset in peer.offsets.items():
+                highest[name] = max(offset, highest.get(name, offset))
+        self._sequence += 1
+        entry = self.config.entry
+        summary = summaries.Summary(
+            zone=entry.zone,
+            id=entry.id,
+            start_id=self.start_id,
+            host=entry.host,
+            sequence=self._sequence,
+            interval_ms=interval_ms,
+            store_age_ms=min((store_age_ms, *(p.store_age_ms for p in peers))),
+            offsets=highest,
+            digest=summaries.digest(gateways),
+            sums=summaries.total((contents, *(p.contents for p in peers))),
+            gateways=gateways,
+        )
+        full = self._lists[entry.zone].full(summary.digest, frozenset(hosts))
+        return summary.body(gateways if full else None)
+
+    def forwards_changes(self) -> bool:
+        """Whether the own zone has not been told the list of another zone."""
+        return any(
+            self._lists[zone].digest != view.digest
+            for zone, view in self.members.zones.views.items()
+            if zone in self.pending
+        )
+
+    def forwards(self) -> list[dict[str, Any]]:
+        """Returns the summaries to forward, each of them only once."""
+        ids = frozenset(peer.id for peer in self.relays.own_zone())
+        bodies = []
+        for zone in self.pending:
+            view = self.members.zones.views.get(zone)
+            if view is None:
+                continue
+            # The list is attached here, since a summary with a list may have
+            # been followed by one without it before it was forwarded.
+            known = view.digest == view.summary.digest and view.gateways
+            full = known and self._lists[zone].full(view.digest, ids)
+            bodies.append(
+                view.summary.body(view.gateways.values() if full else None)
+            )
+        self.pending.clear()
+        return bodies
+
+
+class _ListPacing:
+    """Decides which summaries of one zone carry the list of gateways."""
+
+    def __init__(self) -> None:
+        self.digest = -1
+        self._recipients: frozenset[str] = frozenset()
+        self._sent = 0
+
+    def full(self, digest: int, recipients: frozenset[str]) -> bool:
+        """Whether the next summary carries the list."""
+        if digest != self.digest or not recipients <= self._recipients:
+            self._sent = 0
+        self.digest = digest
+        self._recipients = recipients
+        self._sent += 1
+        return (
+            self._sent <= summaries.LIST_REPEATS
+            or self._sent % summaries.LIST_EVERY == 0
+        )
+
+
+def batches(bodies: Iterable[dict[str, Any]]) -> Iterator[list[dict[str, Any]]]:
+    """Groups summaries into datagrams, larger ones alone."""
+    batch: list[dict[str, Any]] = []
+    size = 0
+    for body in bodies:
+        length = len(msgpack.packb(body))
+        if batch and size + length > BATCH_BYTES:
+            yield batch
+            batch, size = [], 0
+        batch.append(body)
+        size += length
+    if batch:
+        yield batch
--- a/oleanderbay/gateway/settings.py
+++ b/oleanderbay/gateway/settings.py
@@ -81,6 +81,8 @@
         live_ms: Time after which a silent peer is left out, at least.
         forget_ms: Time after which a silent peer no longer counts towards
             the shares of global limits.
+        full_mesh_gateways: Up to this number of known gateways, each sends
+            heartbeats to all others; above it, zones exchange summaries.
     """
 
     port: int = _field(low=1, high=65_535)
@@ -89,6 +91,7 @@
     max_heartbeats_per_s: int = _field(200, low=1, high=100_000)
     live_ms: int = _ms(1_500)
     forget_ms: int = _ms(6_000)
+    full_mesh_gateways: int = _field(8, low=1, high=100_000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
