Send a zone's list of gateways only after a change

The list now follows a change twice, and a receiver that lacks the list of a digest asks the sender for it, once for each summary.

--- a/oleanderbay/gateway/peers.py
+++ b/oleanderbay/gateway/peers.py
@@ -198,7 +198,6 @@
                 {n: f.offset for n, f in self.feeds.items()},
                 self._store_age_ms(),
                 self._interval_ms,
-                hosts,
             )
             packed = self._pack([body], forwarded=False)
             for host in hosts:
@@ -245,6 +244,11 @@
             if "summaries" in body:
                 self._summaries_received(body)
                 return
+            if "lists" in body:
+                if body["host"] in self.addresses:
+                    bodies = self.outbox.with_lists(body["lists"])
+                    self._send(body["host"], self._pack(bodies, False))
+                return
             peer = membership.parse(
                 body, self.clock.now_ms(), self.config.peers.heartbeat_ms
             )
@@ -284,6 +288,21 @@
                     view, self.relays.own_zone(), self._relaying
                 ):
                     self._start_fetch(summary, name)
+            # Only once for each summary: the answer may lack it as well.
+            if used and view.lacks_list():
+                sender = self.live.get(body["id"])
+                host = summary.host if sender is None else sender.host
+                self._request_list(summary.zone, host)
+
+    def _request_list(self, zone: str, host: str) -> None:
+        """Asks the sender of a summary for the list that it left out."""
+        message = {
+            "protocol": PROTOCOL,
+            "id": self.id,
+            "host": self.config.entry.host,
+            "lists": [zone],
+        }
+        self._send(host, msgpack.packb(message))
 
     def _use(self, summary: summaries.Summary) -> None:
         """Counts a zone's sums in place of what its gateways said."""
--- a/oleanderbay/gateway/relays.py
+++ b/oleanderbay/gateway/relays.py
@@ -167,6 +167,7 @@
         self.relays = relays
         self.pending: dict[str, None] = {}
         self._sequence = 0
+        self._last: summaries.Summary | None = None
         self._lists: dict[str, _ListPacing] = collections.defaultdict(
             _ListPacing
         )
@@ -211,7 +212,6 @@
         offsets: Mapping[str, int],
         store_age_ms: int,
         interval_ms: int,
-        hosts: Iterable[str],
     ) -> dict[str, Any]:
         """Returns the next summary of the own zone.
 
@@ -220,7 +220,6 @@
             offsets: Offsets of its feeds by topic.
             store_age_ms: Time since the store answered it.
             interval_ms: Time to the next summary.
-            hosts: Who gets the summary.
         """
         peers = self.relays.own_zone()
         gateways = self.gateways(contents)
@@ -243,9 +242,21 @@
             sums=summaries.total((contents, *(p.contents for p in peers))),
             gateways=gateways,
         )
-        full = self._lists[entry.zone].full(summary.digest, frozenset(hosts))
+        self._last = summary
+        full = self._lists[entry.zone].full(summary.digest)
         return summary.body(gateways if full else None)
 
+    def with_lists(self, zones: Iterable[str]) -> list[dict[str, Any]]:
+        """Returns the last summaries of zones, with their lists."""
+        bodies = []
+        for zone in zones:
+            view = self.members.zones.views.get(zone)
+            if zone == self.config.entry.zone and self._last is not None:
+                bodies.append(self._last.body(self._last.gateways))
+            elif view is not None and not view.lacks_list():
+                bodies.append(view.summary.body(view.gateways.values()))
+        return bodies
+
     def forwards_changes(self) -> bool:
         """Whether the own zone has not been told the list of another zone."""
         return any(
@@ -256,7 +267,6 @@
 
     def forwards(self) -> list[dict[str, Any]]:
         """Returns the summaries to forward, each of them only once."""
-        ids = frozenset(peer.id for peer in self.relays.own_zone())
         bodies = []
         for zone in self.pending:
             view = self.members.zones.views.get(zone)
@@ -264,8 +274,7 @@
                 continue
             # The list is attached here, since a summary with a list may have
             # been followed by one without it before it was forwarded.
-            known = view.digest == view.summary.digest and view.gateways
-            full = known and self._lists[zone].full(view.digest, ids)
+            full = not view.lacks_list() and self._lists[zone].full(view.digest)
             bodies.append(
                 view.summary.body(view.gateways.values() if full else None)
             )
@@ -278,20 +287,15 @@
 
     def __init__(self) -> None:
         self.digest = -1
-        self._recipients: frozenset[str] = frozenset()
         self._sent = 0
 
-    def full(self, digest: int, recipients: frozenset[str]) -> bool:
+    def full(self, digest: int) -> bool:
         """Whether the next summary carries the list."""
-        if digest != self.digest or not recipients <= self._recipients:
+        if digest != self.digest:
             self._sent = 0
         self.digest = digest
-        self._recipients = recipients
         self._sent += 1
-        return (
-            self._sent <= summaries.LIST_REPEATS
-            or self._sent % summaries.LIST_EVERY == 0
-        )
+        return self._sent <= summaries.LIST_REPEATS
 
 
 def batches(bodies: Iterable[dict[str, Any]]) -> Iterator[list[dict[str, Any]]]:
--- a/oleanderbay/gateway/summaries.py
+++ b/oleanderbay/gateway/summaries.py
@@ -10,9 +10,8 @@
 
 # Relays of a zone; each sends its summaries.
 RELAYS = 2
-# The list of gateways is sent in each summary of this number, and in this many
-# after a change, since one datagram may be lost.
-LIST_EVERY = 5
+# The list of gateways is sent in this many summaries after a change, since one
+# datagram may be lost. Who lacks it later asks for it.
 LIST_REPEATS = 2
 # Another relay's summaries are used, or forwarded by the second relay, after
 # this many intervals without one from the first.
@@ -219,7 +218,7 @@
     interval_ms: int
     lifetime_ms: int
     gateways: dict[str, Listed] = dataclasses.field(default_factory=dict)
-    digest: int = 0
+    digest: int = -1
     listed_ms: int = 0
     relays: tuple[Listed, ...] = ()
     last_listed: dict[str, tuple[Listed, int]] = dataclasses.field(
@@ -252,10 +251,21 @@
         start_id, sequence = self.sequences.get(summary.id, ("", -1))
         return start_id != summary.start_id or sequence < summary.sequence
 
+    def lacks_list(self) -> bool:
+        """Whether the list of the summary in use is not known."""
+        return self.digest != self.summary.digest
+
+    def keep_list(self, digest: int, gateways: tuple[Listed, ...]) -> None:
+        """Keeps a list for later summaries that carry only its digest."""
+        self.lists.pop(digest, None)
+        self.lists[digest] = gateways
+        while len(self.lists) > LISTS_KEPT:
+            del self.lists[next(iter(self.lists))]
+
     def use_list(self, gateways: tuple[Listed, ...], now_ms: int) -> None:
         """Takes the list of the summary in use."""
         self.listed_ms = now_ms
-        if self.digest == self.summary.digest and self.gateways:
+        if not self.lacks_list():
             return
         self.digest = self.summary.digest
         self.gateways = {one.id: one for one in gateways}
@@ -286,15 +296,14 @@
             view = View(summary, now_ms, interval_ms, lifetime_ms)
             view.forwarded_ms = now_ms
             self.views[summary.zone] = view
-        elif not view.newer(summary):
-            return False
-        view.sequences[summary.id] = (summary.start_id, summary.sequence)
         if summary.gateways is not None:
-            view.lists.pop(summary.digest, None)
-            view.lists[summary.digest] = summary.gateways
-            while len(view.lists) > LISTS_KEPT:
-                del view.lists[next(iter(view.lists))]
+            view.keep_list(summary.digest, summary.gateways)
+        # An answer to a request repeats a summary with its list, which the
+        # next summary puts to use.
         listed = view.lists.get(summary.digest, ())
+        if not first and not view.newer(summary):
+            return False
+        view.sequences[summary.id] = (summary.start_id, summary.sequence)
         # A gateway that either relay lists takes its share of global limits.
         for one in listed:
             view.last_listed[one.id] = (one, now_ms)
--- /dev/null
+++ b/tests/gateway/test_summaries.py
@@ -0,0 +1,85 @@
+"""Tests of the sums over a zone."""
+
+from oleanderbay.gateway import load, summaries
+
+
+def test_sums_count_each_gateway_and_join_what_they_found():
+    """Other zones would choose workers by too little or too much load."""
+    one = {
+        **summaries.EMPTY,
+        "in_flight": {"w": 2, "v": 1},
+        "demand": {"m": 1.5},
+        "suspects": ["w"],
+        "lost": {"u": 7},
+        "loads_begun": 1,
+        "planned": {"m": 1},
+    }
+    two = {
+        **one,
+        "in_flight": {"w": 3},
+        "suspects": ["v"],
+        "lost": {"u": 9},
+        "serving": True,
+    }
+    assert summaries.total([one, two, summaries.EMPTY]) == {
+        "in_flight": {"w": 5, "v": 1},
+        "busy": 2,
+        "demand": {"m": 3.0},
+        "suspects": ["v", "w"],
+        "sound": [],
+        "lost": {"u": 9},
+        "loads_begun": 2,
+        "planned": {"m": 2},
+        "serving": True,
+    }
+
+
+def test_a_zone_counts_as_its_busy_gateways_in_the_own_part():
+    """One zone would look like one gateway that has nearly all places."""
+    loads = load.Load()
+    loads.update_peer("p", {"w": 2})
+    loads.update_peer("zone/z", {"w": 18}, busy=8)
+    assert loads.part(["w"]) == 2.0
+    loads.update_peer("zone/z", {}, busy=0)
+    assert loads.part(["w"]) == 1.0
+
+
+def summary(relay, gateways=(), sequence=1):
+    """Makes a summary; gateways are pairs of an id and whether it relays."""
+    listed = tuple(
+        summaries.Listed(id_, "s", id_, id_, True, False, relays)
+        for id_, relays in gateways
+    )
+    return summaries.Summary(
+        zone="z1",
+        id=relay,
+        start_id="s",
+        host="h",
+        sequence=sequence,
+        interval_ms=200,
+        store_age_ms=0,
+        offsets={},
+        digest=summaries.digest(listed),
+        sums=summaries.EMPTY,
+        gateways=listed,
+    )
+
+
+def test_the_own_zone_is_not_summed_up_again():
+    """A gateway would count its own load twice."""
+    zones = summaries.Zones("z1")
+    assert not zones.apply(summary("a"), 0, 200, 1_500) and not zones.views
+    assert summaries.Zones("z2").apply(summary("a"), 0, 200, 1_500)
+
+
+def test_one_relay_is_used_until_it_is_silent_or_none():
+    """Sums would change with each datagram, or be those of an old list."""
+    zones = summaries.Zones("z2")
+    both = (("a", True), ("b", True))
+    assert zones.apply(summary("a", both), 0, 200, 1_500)
+    assert not zones.apply(summary("b", both), 400, 200, 1_500)
+    assert zones.apply(summary("b", both, 2), 401, 200, 1_500)
+    without = (("a", True), ("b", False))
+    assert not zones.apply(summary("a", both, 2), 500, 200, 1_500)
+    assert zones.apply(summary("a", without, 3), 500, 200, 1_500)
+    assert not zones.apply(summary("a", without, 3), 500, 200, 1_500)
