--- a/oleanderbay/gateway/reading.py
+++ b/oleanderbay/gateway/reading.py
@@ -14,7 +14,7 @@
 import xxhash
 
 from oleanderbay.connection import frames
-from oleanderbay.gateway import feed, interfaces, peers
+from oleanderbay.gateway import feed, interfaces, membership
 from oleanderbay.process import clock as clocks
 
 SUBSCRIBE = "subscribe"
@@ -54,7 +54,7 @@
         zone: str,
         clock: clocks.Clock,
         feeds: Mapping[str, feed.Feed],
-        live: Mapping[str, peers.Peer],
+        live: Mapping[str, membership.Peer],
         leaving: Callable[[], bool],
         silence_ms: int,
     ) -> None:
@@ -98,7 +98,7 @@
         """Drops what is known of other peers."""
         self._fit &= live
 
-    def reader(self) -> peers.Peer | None:
+    def reader(self) -> membership.Peer | None:
         """Returns the peer to follow; None if this gateway has to read."""
         fit = [
             peer
@@ -219,7 +219,7 @@
 
     def __init__(
         self,
-        peer: peers.Peer,
+        peer: membership.Peer,
         followed: feed.Feed,
         clock: clocks.Clock,
         connect: Connect,
@@ -369,7 +369,9 @@
                 chosen, self.followed, self.clock, self.connect
             )
 
-    def _usable(self, source: Subscription, chosen: peers.Peer | None) -> bool:
+    def _usable(
+        self, source: Subscription, chosen: membership.Peer | None
+    ) -> bool:
         silent_ms = self.clock.now_ms() - source.heard_ms
         return (
             chosen is not None
--- a/oleanderbay/standins/zone.py
+++ b/oleanderbay/standins/zone.py
@@ -12,7 +12,7 @@
 
 from aiohttp import test_utils
 
-from oleanderbay.gateway import entry, interfaces, peers, settings
+from oleanderbay.gateway import entry, interfaces, settings
 from oleanderbay.platform import ingress, records, store
 from oleanderbay.process import clock as clocks
 from oleanderbay.standins import metadata_store
@@ -272,7 +272,7 @@
         """Sends a datagram."""
         self.network.datagram((self.host, place[0]), packed)
 
-    async def _no_fetch(self, _: peers.Peer, __: str) -> bool:
+    async def _no_fetch(self, _: Any, __: str) -> bool:
         return False
 
     async def _connect(self, host: str) -> tuple[Any, Any]:
