Count the interval of ownership joins from the call

The time between two joins was the interval plus the time of the answer. One call that timed out (500 ms) put the next join 1,500 ms after the last confirmed one, which is the time to live, so that one lost answer left all domains of a gateway without a holder. The interval now counts from the call.

The new test loses one answer and finds no moment without ownership; it fails without the change.

--- a/oleanderbay/gateway/duties.py
+++ b/oleanderbay/gateway/duties.py
@@ -44,8 +44,12 @@
     async def run(self) -> None:
         """Confirms the ownership until cancelled."""
         while not self.leaving:
+            asked_ms = self.clock.now_ms()
             await self.confirm()
-            await self.clock.sleep_ms(self.interval_ms)
+            # The interval counts from the call. Counted from its answer, one
+            # call that times out would use up the time to live.
+            spent_ms = self.clock.now_ms() - asked_ms
+            await self.clock.sleep_ms(max(0, self.interval_ms - spent_ms))
 
     async def confirm(self) -> None:
         """Joins the owners or stays among them."""
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from oleanderbay.gateway import duties
+from oleanderbay.gateway import duties, interfaces
 from oleanderbay.process import clock as clocks
 from tests.gateway import parts
 
@@ -33,6 +33,28 @@
     task.cancel()
 
 
+async def test_one_lost_answer_does_not_end_ownership():
+    """All domains would be without a holder until the next confirmation."""
+    made, store, clock = owner()
+    answer = store.join
+    asked_ms = []
+
+    async def join(*arguments):
+        asked_ms.append(clock.now_ms())
+        if len(asked_ms) == 2:
+            await clock.sleep_ms(500)
+            raise interfaces.StoreError("timeout")
+        return await answer(*arguments)
+
+    store.join = join
+    task = asyncio.create_task(made.run())
+    for _ in range(40):
+        await clock.advance(50)
+        assert made.owns("d")
+    assert asked_ms[:4] == [0, 500, 1_000, 1_500]
+    task.cancel()
+
+
 async def test_a_slow_answer_counts_from_the_call():
     """The store counts from the arrival of the call, not of its answer."""
     made, store, clock = owner()
