--- a/bench/harness.py
+++ b/bench/harness.py
@@ -18,6 +18,7 @@
         "admission_sites",
         "admission_traffic",
         "binary",
+        "changes_fleet",
         "failure_declarations",
         "failure_fleet",
         "failures",
--- a/oleanderbay/standins/metadata_store.py
+++ b/oleanderbay/standins/metadata_store.py
@@ -46,6 +46,7 @@
         faults: Remaining number of calls that each fault happens to.
         refuse_status: Status of the fault `refuse`.
         slow_ms: Delay of the fault `slow`.
+        answer_ms: Delay of each answer, after the call has taken effect.
         topics: Records of each topic; the place in the list is the offset.
         first: Oldest offset held, by topic.
         calls: Paths that were called.
@@ -61,6 +62,7 @@
         self.faults = dict.fromkeys(FAULTS, 0)
         self.refuse_status = 503
         self.slow_ms = 100
+        self.answer_ms = 0
         self.topics: dict[str, list[bytes]] = {}
         self.first: dict[str, int] = {}
         self.calls: list[str] = []
@@ -130,6 +132,8 @@
         if self.spend("slow"):
             await self.clock.sleep_ms(self.slow_ms)
         response: web.StreamResponse = await handler(request)
+        if self.answer_ms:
+            await self.clock.sleep_ms(self.answer_ms)
         if self.spend("lose_answer") and request.transport is not None:
             request.transport.abort()
         return response
