Group the modules of a process by what they own

The package oleanderbay.process had 50 modules in one folder, so a reader could not see from a module's place which part decides a matter.

The modules are now in seven packages: membership, configuration, observation, groups, permits, serving and operators. The groups follow the imports between the modules; no import had to be turned round. What the gateway and the other packages share stays in oleanderbay.process. The class Versions moves from entry to configuration.versions, since it reads replicated state only. operators, groups and serving become operators.listener, groups.service and serving.service. Tests move with their modules.

--- a/bench/loops_requests.py
+++ b/bench/loops_requests.py
@@ -11,7 +11,8 @@
 from bench import naive_requests as naive
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import interfaces, permits
+from oleanderbay.process import interfaces
+from oleanderbay.process.permits import permits
 from oleanderbay.request import admission, outcome, prefixes, routing
 from oleanderbay.version import resources
 
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from oleanderbay.process import fleet
+from oleanderbay.process.groups import fleet
 from oleanderbay.version import catalogue, placement, resources
 from oleanderbay.version import situation as situations
 
--- a/bench/replication.py
+++ b/bench/replication.py
@@ -16,13 +16,9 @@
 from oleanderbay.native import interfaces as native
 from oleanderbay.native import log_http
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import (
-    heartbeats,
-    interfaces,
-    membership,
-    neighbours,
-    replication,
-)
+from oleanderbay.process import interfaces
+from oleanderbay.process.configuration import replication
+from oleanderbay.process.membership import heartbeats, membership, neighbours
 from oleanderbay.standins import instances, log
 from oleanderbay.version import records, resources
 
--- a/oleanderbay/process/appender.py
+++ b/oleanderbay/process/configuration/appender.py
@@ -9,9 +9,9 @@
 import structlog
 
 from oleanderbay.native import interfaces as native
-from oleanderbay.process import budget as budgets
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import deadline
+from oleanderbay.process.configuration import budget as budgets
 
 ATTEMPT_TIMEOUT_MS = 1_000
 # Longest wait for the budget; a caller that is told to come back can do
--- a/oleanderbay/process/bootstrap.py
+++ b/oleanderbay/process/configuration/bootstrap.py
@@ -6,7 +6,9 @@
 import structlog
 
 from oleanderbay.native import interfaces as native
-from oleanderbay.process import follower, interfaces, membership
+from oleanderbay.process import interfaces
+from oleanderbay.process.configuration import follower
+from oleanderbay.process.membership import membership
 from oleanderbay.version import catalogue, checkpoint
 
 PAGE_RECORDS = 512
--- a/oleanderbay/process/checkpoints.py
+++ b/oleanderbay/process/configuration/checkpoints.py
@@ -7,8 +7,10 @@
 
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import follower as followers
-from oleanderbay.process import freshness, interfaces, membership, rendezvous
+from oleanderbay.process import interfaces
+from oleanderbay.process.configuration import follower as followers
+from oleanderbay.process.configuration import freshness
+from oleanderbay.process.membership import membership, rendezvous
 from oleanderbay.version import checkpoint, verdicts
 
 APPEND_TIMEOUT_MS = 5_000
--- a/oleanderbay/process/follower.py
+++ b/oleanderbay/process/configuration/follower.py
@@ -11,14 +11,9 @@
 
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import (
-    deadline,
-    divergence,
-    freshness,
-    interfaces,
-    membership,
-    neighbours,
-)
+from oleanderbay.process import deadline, interfaces
+from oleanderbay.process.configuration import divergence, freshness
+from oleanderbay.process.membership import membership, neighbours
 from oleanderbay.version import apply, catalogue, verdicts
 
 STREAM = "config"
--- a/oleanderbay/process/freshness.py
+++ b/oleanderbay/process/configuration/freshness.py
@@ -3,7 +3,8 @@
 import dataclasses
 
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import interfaces, membership
+from oleanderbay.process import interfaces
+from oleanderbay.process.membership import membership
 
 # Offsets of confirmations that wait for this entry to catch up.
 MAX_PENDING = 64
--- a/oleanderbay/process/relay.py
+++ b/oleanderbay/process/configuration/relay.py
@@ -13,9 +13,11 @@
 import structlog
 
 from oleanderbay.native import interfaces as native
-from oleanderbay.process import bootstrap, interfaces, membership
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import follower as followers
+from oleanderbay.process import interfaces
+from oleanderbay.process.configuration import bootstrap
+from oleanderbay.process.configuration import follower as followers
+from oleanderbay.process.membership import membership
 from oleanderbay.version import catalogue, checkpoint
 
 REQUEST_TIMEOUT_MS = 500
--- a/oleanderbay/process/replication.py
+++ b/oleanderbay/process/configuration/replication.py
@@ -7,20 +7,18 @@
 import structlog
 
 from oleanderbay.native import interfaces as native
-from oleanderbay.process import (
+from oleanderbay.process import clock as clocks
+from oleanderbay.process import interfaces
+from oleanderbay.process.configuration import (
     appender,
     bootstrap,
     budget,
     checkpoints,
     follower,
     freshness,
-    heartbeats,
-    interfaces,
-    membership,
-    peers,
     relay,
 )
-from oleanderbay.process import clock as clocks
+from oleanderbay.process.membership import heartbeats, membership, peers
 
 FIRST_RETRY_MS = 100
 LAST_RETRY_MS = 2_000
--- a/oleanderbay/process/entry.py
+++ b/oleanderbay/process/entry.py
@@ -4,7 +4,6 @@
 import random
 import socket
 import uuid
-from collections.abc import Sequence
 
 import aiohttp
 import mode
@@ -16,19 +15,14 @@
     log_http,
     weights_http,
 )
-from oleanderbay.process import (
-    admin,
-    groups,
-    interfaces,
-    operators,
-    replication,
-    serving,
-    submission,
-    telemetry,
-    watches,
-)
 from oleanderbay.process import clock as clocks
+from oleanderbay.process import interfaces, telemetry
 from oleanderbay.process import settings as settings_module
+from oleanderbay.process.configuration import replication, submission, versions
+from oleanderbay.process.groups import service as groups
+from oleanderbay.process.operators import admin, watches
+from oleanderbay.process.operators import listener as operators
+from oleanderbay.process.serving import service as serving
 from oleanderbay.request import claim_log, outcome
 
 # Time for the announcement of leaving to reach peers, who name this entry in
@@ -145,7 +139,7 @@
                     source=source,
                     appender=self.replication.appender,
                     verdict_source=submission.AppliedVerdicts(source, clock),
-                    versions=Versions(self.replication),
+                    versions=versions.Versions(self.replication),
                     clock=clock,
                     author=self.me.start_id,
                 ),
@@ -263,46 +257,6 @@
         await self.stop()
 
 
-class Versions:
-    """What offsets the entries have in force, for operators."""
-
-    def __init__(self, replicated: replication.Replication) -> None:
-        self.replicated = replicated
-
-    def entries(self) -> Sequence[submission.EntryVersion]:
-        """Returns one line for each entry that is heard from."""
-        members = self.replicated.members
-        me = members.me
-        age_ms = self.replicated.lease.confirmation_age_ms()
-        lines = [
-            submission.EntryVersion(
-                entry=me.id,
-                start_id=me.start_id,
-                zone=me.zone,
-                offset=self.replicated.follower.current.offset,
-                age_ms=-1 if age_ms is None else age_ms,
-                counts=members.counts(me),
-            )
-        ]
-        for state in members.heard():
-            peer_age_ms = state.heartbeat.confirmation_age_ms
-            lines.append(
-                submission.EntryVersion(
-                    entry=state.entry.id,
-                    start_id=state.entry.start_id,
-                    zone=state.entry.zone,
-                    offset=state.heartbeat.offset,
-                    age_ms=-1 if peer_age_ms is None else peer_age_ms,
-                    counts=members.counts(state.entry),
-                )
-            )
-        return lines
-
-    def known_count(self) -> int:
-        """Size of the known set that majorities are counted against."""
-        return self.replicated.members.known_count()
-
-
 def _port(listener: settings_module.Listener) -> int:
     """Returns the port to listen on; peers and callers are told of it."""
     if listener.port:
--- a/oleanderbay/process/driver.py
+++ b/oleanderbay/process/groups/driver.py
@@ -5,19 +5,11 @@
 import mode
 
 from oleanderbay.native import interfaces as native
-from oleanderbay.process import (
-    cachemove,
-    fleet,
-    interfaces,
-    inventory,
-    members,
-    proposer,
-    readers,
-    rendezvous,
-    reports,
-    rolls,
-)
 from oleanderbay.process import clock as clocks
+from oleanderbay.process import interfaces
+from oleanderbay.process.groups import cachemove, fleet, proposer, rolls
+from oleanderbay.process.membership import rendezvous
+from oleanderbay.process.observation import inventory, members, readers, reports
 from oleanderbay.version import records, resources
 
 STEP_INTERVAL_MS = 500
--- a/oleanderbay/process/fleet.py
+++ b/oleanderbay/process/groups/fleet.py
@@ -4,7 +4,8 @@
 from collections.abc import Collection
 
 from oleanderbay.native import interfaces as native
-from oleanderbay.process import interfaces, inventory, members, sightings
+from oleanderbay.process import interfaces
+from oleanderbay.process.observation import inventory, members, sightings
 from oleanderbay.version import resources
 from oleanderbay.version import situation as situations
 
--- a/oleanderbay/process/orders.py
+++ b/oleanderbay/process/groups/orders.py
@@ -7,7 +7,8 @@
 
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import interfaces, inventory, reports
+from oleanderbay.process import interfaces
+from oleanderbay.process.observation import inventory, reports
 from oleanderbay.version import resources
 
 # An entry may give orders for an epoch only if it knew less than this ago
--- a/oleanderbay/process/proposer.py
+++ b/oleanderbay/process/groups/proposer.py
@@ -7,14 +7,9 @@
 
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import (
-    fleet,
-    interfaces,
-    inventory,
-    readers,
-    reports,
-    rolls,
-)
+from oleanderbay.process import interfaces
+from oleanderbay.process.groups import fleet, rolls
+from oleanderbay.process.observation import inventory, readers, reports
 from oleanderbay.version import placement, records, resources
 from oleanderbay.version import situation as situations
 
--- a/oleanderbay/process/rolls.py
+++ b/oleanderbay/process/groups/rolls.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 
-from oleanderbay.process import fleet, interfaces, members, sightings
+from oleanderbay.process import interfaces
+from oleanderbay.process.groups import fleet
+from oleanderbay.process.observation import members, sightings
 from oleanderbay.version import resources
 
 
--- a/oleanderbay/process/groups.py
+++ b/oleanderbay/process/groups/service.py
@@ -8,15 +8,9 @@
 
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import (
-    driver,
-    eligibility,
-    interfaces,
-    inventory,
-    orders,
-    proposer,
-    reports,
-)
+from oleanderbay.process import interfaces
+from oleanderbay.process.groups import driver, orders, proposer
+from oleanderbay.process.observation import eligibility, inventory, reports
 from oleanderbay.version import resources
 
 
--- a/oleanderbay/process/heartbeats.py
+++ b/oleanderbay/process/membership/heartbeats.py
@@ -10,7 +10,8 @@
 
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import interfaces, membership, neighbours, peers
+from oleanderbay.process import interfaces
+from oleanderbay.process.membership import membership, neighbours, peers
 
 PERIOD_MS = 500
 # A heartbeat follows an applied record at once, but not more often than this,
--- a/oleanderbay/process/neighbours.py
+++ b/oleanderbay/process/membership/neighbours.py
@@ -4,7 +4,7 @@
 import math
 from collections.abc import Mapping
 
-from oleanderbay.process import rendezvous
+from oleanderbay.process.membership import rendezvous
 
 # Up to this size every entry has a link to every other unless it is told
 # another size.
--- a/oleanderbay/process/eligibility.py
+++ b/oleanderbay/process/observation/eligibility.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable, Iterator
 
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import interfaces, inventory, members, reports
+from oleanderbay.process import interfaces
+from oleanderbay.process.observation import inventory, members, reports
 from oleanderbay.version import resources
 
 # How long a list of eligible upstreams may be used before it is rebuilt; an
--- a/oleanderbay/process/readers.py
+++ b/oleanderbay/process/observation/readers.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable
 
-from oleanderbay.process import interfaces, rendezvous
+from oleanderbay.process import interfaces
+from oleanderbay.process.membership import rendezvous
 
 READERS_PER_UPSTREAM = 2
 
--- a/oleanderbay/process/reports.py
+++ b/oleanderbay/process/observation/reports.py
@@ -8,8 +8,8 @@
 
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import (
-    interfaces,
+from oleanderbay.process import interfaces
+from oleanderbay.process.observation import (
     inventory,
     members,
     readers,
--- a/oleanderbay/process/sightings.py
+++ b/oleanderbay/process/observation/sightings.py
@@ -3,7 +3,7 @@
 import dataclasses
 from typing import Any
 
-from oleanderbay.process import members
+from oleanderbay.process.observation import members
 
 # What a reader says is dropped when it was not renewed for so long.
 SIGHTING_MAX_AGE_MS = members.REPORT_MAX_AGE_MS
--- a/oleanderbay/process/operators.py
+++ b/oleanderbay/process/operators/listener.py
@@ -7,7 +7,8 @@
 
 import grpc
 
-from oleanderbay.process import submission, watches
+from oleanderbay.process.configuration import submission
+from oleanderbay.process.operators import watches
 from oleanderbay.schema import convert, operators_pb2, operators_pb2_grpc
 from oleanderbay.version import (
     changes,
--- a/oleanderbay/process/watches.py
+++ b/oleanderbay/process/operators/watches.py
@@ -6,7 +6,8 @@
 from collections.abc import AsyncGenerator, Iterator
 
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import interfaces, submission
+from oleanderbay.process import interfaces
+from oleanderbay.process.configuration import submission
 from oleanderbay.version import resources
 
 MAX_WATCHES = 64
--- a/oleanderbay/process/grants.py
+++ b/oleanderbay/process/permits/grants.py
@@ -3,8 +3,9 @@
 import collections
 from collections.abc import Mapping, Sequence
 
-from oleanderbay.process import asks, interfaces
 from oleanderbay.process import clock as clocks
+from oleanderbay.process import interfaces
+from oleanderbay.process.permits import asks
 from oleanderbay.request import concurrency
 
 # A request needs this long at most from its holder to the upstream, and a
--- a/oleanderbay/process/holding.py
+++ b/oleanderbay/process/permits/holding.py
@@ -4,7 +4,8 @@
 import collections
 from collections.abc import Callable
 
-from oleanderbay.process import asks, interfaces
+from oleanderbay.process import interfaces
+from oleanderbay.process.permits import asks
 from oleanderbay.request import outcome
 
 
--- a/oleanderbay/process/permits.py
+++ b/oleanderbay/process/permits/permits.py
@@ -6,8 +6,9 @@
 
 import mode
 
-from oleanderbay.process import asks, grants, holding, interfaces
 from oleanderbay.process import clock as clocks
+from oleanderbay.process import interfaces
+from oleanderbay.process.permits import asks, grants, holding
 from oleanderbay.request import outcome
 
 KIND = "permit"
--- a/oleanderbay/process/cachefeed.py
+++ b/oleanderbay/process/serving/cachefeed.py
@@ -5,7 +5,8 @@
 
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import interfaces, reports
+from oleanderbay.process import interfaces
+from oleanderbay.process.observation import reports
 from oleanderbay.request import prefixes
 from oleanderbay.version import resources
 
--- a/oleanderbay/process/callers.py
+++ b/oleanderbay/process/serving/callers.py
@@ -11,9 +11,10 @@
 from aiohttp import web
 
 from oleanderbay.connection import caller, hops, http
-from oleanderbay.process import addresses, interfaces, watch
 from oleanderbay.process import clock as clocks
+from oleanderbay.process import interfaces, watch
 from oleanderbay.process import settings as settings_module
+from oleanderbay.process.serving import addresses
 from oleanderbay.request import attempt, outcome, pipeline
 from oleanderbay.version import resources, routes
 
--- a/oleanderbay/process/serving.py
+++ b/oleanderbay/process/serving/service.py
@@ -6,18 +6,12 @@
 import mode
 
 from oleanderbay.connection import upstream as connections
-from oleanderbay.process import (
-    addresses,
-    cachefeed,
-    callers,
-    interfaces,
-    permits,
-    reports,
-    telemetry,
-    watch,
-)
 from oleanderbay.process import clock as clocks
+from oleanderbay.process import interfaces, telemetry, watch
 from oleanderbay.process import settings as settings_module
+from oleanderbay.process.observation import reports
+from oleanderbay.process.permits import permits
+from oleanderbay.process.serving import addresses, cachefeed, callers
 from oleanderbay.request import (
     admission,
     claim_log,
--- a/oleanderbay/request/pipeline.py
+++ b/oleanderbay/request/pipeline.py
@@ -9,8 +9,9 @@
 from oleanderbay.connection import http
 from oleanderbay.connection import upstream as connections
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import holding, interfaces, permits, telemetry, watch
+from oleanderbay.process import interfaces, telemetry, watch
 from oleanderbay.process import settings as settings_module
+from oleanderbay.process.permits import holding, permits
 from oleanderbay.request import (
     admission,
     attempt,
--- a/tests/cli/test_operators_commands.py
+++ b/tests/cli/test_operators_commands.py
@@ -8,8 +8,11 @@
 import pytest
 
 from oleanderbay.cli import client, declared, main
-from oleanderbay.process import clock, operators, submission, watches
-from tests.process import test_submission
+from oleanderbay.process import clock
+from oleanderbay.process.configuration import submission
+from oleanderbay.process.operators import listener as operators
+from oleanderbay.process.operators import watches
+from tests.process.configuration import test_submission
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples" / "declarations"
 FLEETS = [
--- a/tests/process/cluster.py
+++ b/tests/process/configuration/cluster.py
@@ -7,7 +7,9 @@
 import msgpack
 
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import interfaces, neighbours, replication
+from oleanderbay.process import interfaces
+from oleanderbay.process.configuration import replication
+from oleanderbay.process.membership import neighbours
 from oleanderbay.standins import instances, log
 from oleanderbay.version import records, resources
 
--- a/tests/process/test_appender.py
+++ b/tests/process/configuration/test_appender.py
@@ -6,11 +6,11 @@
 import pytest
 
 from oleanderbay.native import interfaces as native
-from oleanderbay.process import appender, budget
 from oleanderbay.process import clock as clocks
+from oleanderbay.process.configuration import appender, budget
 from oleanderbay.standins import log
 from oleanderbay.version import records
-from tests.process import cluster
+from tests.process.configuration import cluster
 
 
 class Bench:
--- a/tests/process/test_bootstrap.py
+++ b/tests/process/configuration/test_bootstrap.py
@@ -4,10 +4,11 @@
 
 import pytest
 
-from oleanderbay.process import bootstrap, interfaces
+from oleanderbay.process import interfaces
+from oleanderbay.process.configuration import bootstrap
 from oleanderbay.standins import log
 from oleanderbay.version import apply, catalogue, checkpoint
-from tests.process import cluster
+from tests.process.configuration import cluster
 
 SETTINGS = cluster.limits(retention_ms=64_000)
 
--- a/tests/process/test_replication.py
+++ b/tests/process/configuration/test_replication.py
@@ -5,9 +5,10 @@
 import pytest
 
 from oleanderbay.native import interfaces as native
-from oleanderbay.process import interfaces, neighbours
+from oleanderbay.process import interfaces
+from oleanderbay.process.membership import neighbours
 from oleanderbay.version import records
-from tests.process import cluster
+from tests.process.configuration import cluster
 
 FRESH = interfaces.Freshness.FRESH
 OUTAGE = interfaces.Freshness.OUTAGE
--- a/tests/process/test_replication_machine.py
+++ b/tests/process/configuration/test_replication_machine.py
@@ -12,7 +12,7 @@
 
 from oleanderbay.native import interfaces as native
 from oleanderbay.version import apply, catalogue, checkpoint, records
-from tests.process import cluster
+from tests.process.configuration import cluster
 
 COUNT = 5
 LIMIT_MS = 6_000
--- a/tests/process/test_submission.py
+++ b/tests/process/configuration/test_submission.py
@@ -5,7 +5,8 @@
 import pytest
 
 from oleanderbay.native import interfaces as native
-from oleanderbay.process import clock, submission
+from oleanderbay.process import clock
+from oleanderbay.process.configuration import submission
 from oleanderbay.version import records
 from tests.version import samples
 
--- a/tests/process/test_cachemove.py
+++ b/tests/process/groups/test_cachemove.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from oleanderbay.process import cachemove
+from oleanderbay.process.groups import cachemove
 from oleanderbay.version import resources
 from tests.process import world as worlds
 
--- a/tests/process/test_groups_machine.py
+++ b/tests/process/groups/test_groups_machine.py
@@ -10,7 +10,8 @@
 
 from oleanderbay.checks import invariants
 from oleanderbay.checks import records as emitted
-from oleanderbay.process import members, orders
+from oleanderbay.process.groups import orders
+from oleanderbay.process.observation import members
 from oleanderbay.version import resources
 from tests.process import world as worlds
 
--- a/tests/process/test_membership.py
+++ b/tests/process/membership/test_membership.py
@@ -8,18 +8,16 @@
 
 from oleanderbay.connection import peer
 from oleanderbay.native import interfaces as native
-from oleanderbay.process import (
+from oleanderbay.process import clock as clocks
+from oleanderbay.process import interfaces
+from oleanderbay.process.configuration import (
     bootstrap,
     divergence,
     freshness,
-    heartbeats,
-    interfaces,
-    membership,
-    neighbours,
     relay,
 )
-from oleanderbay.process import clock as clocks
-from oleanderbay.process import follower as followers
+from oleanderbay.process.configuration import follower as followers
+from oleanderbay.process.membership import heartbeats, membership, neighbours
 
 
 def entry(id, run="1", address=None):
--- a/tests/process/test_peers.py
+++ b/tests/process/membership/test_peers.py
@@ -8,7 +8,8 @@
 
 from oleanderbay.connection import frames, peer
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import interfaces, peers
+from oleanderbay.process import interfaces
+from oleanderbay.process.membership import peers
 
 
 class Pipe:
--- /dev/null
+++ b/tests/process/observation/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of oleanderbay.process.observation."""
--- a/tests/process/test_readers.py
+++ b/tests/process/observation/test_readers.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-from oleanderbay.process import interfaces, readers
+from oleanderbay.process import interfaces
+from oleanderbay.process.observation import readers
 
 
 def entry(id, zone="a", leaving=False):
--- a/tests/process/test_reports.py
+++ b/tests/process/observation/test_reports.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from oleanderbay.process import members, reports, sightings
+from oleanderbay.process.observation import members, reports, sightings
 from tests.process import world as worlds
 
 
--- a/tests/process/test_operators.py
+++ b/tests/process/operators/test_listener.py
@@ -8,10 +8,12 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from oleanderbay.process import clock, operators, watches
+from oleanderbay.process import clock
+from oleanderbay.process.operators import listener as operators
+from oleanderbay.process.operators import watches
 from oleanderbay.schema import convert, operators_pb2, operators_pb2_grpc
 from oleanderbay.version import records
-from tests.process import test_submission
+from tests.process.configuration import test_submission
 from tests.version import samples
 
 ACCEPTED = operators_pb2.STATUS_ACCEPTED
--- a/tests/process/test_permits.py
+++ b/tests/process/permits/test_permits.py
@@ -9,8 +9,9 @@
 from hypothesis import strategies as st
 
 from bench import fakes_requests as fakes
-from oleanderbay.process import asks, interfaces, permits
 from oleanderbay.process import clock as clocks
+from oleanderbay.process import interfaces
+from oleanderbay.process.permits import asks, permits
 from oleanderbay.request import outcome
 
 REPORT_MS = 500
--- a/tests/process/test_addresses.py
+++ b/tests/process/serving/test_addresses.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-from oleanderbay.process import addresses, clock, interfaces
+from oleanderbay.process import clock, interfaces
+from oleanderbay.process.serving import addresses
 
 
 def _entry(id, zone, leaving=False):
--- a/tests/process/test_cachefeed.py
+++ b/tests/process/serving/test_cachefeed.py
@@ -7,8 +7,9 @@
 import pytest
 
 from oleanderbay.native import interfaces as native
-from oleanderbay.process import cachefeed, interfaces
 from oleanderbay.process import clock as clocks
+from oleanderbay.process import interfaces
+from oleanderbay.process.serving import cachefeed
 from oleanderbay.request import prefixes
 from oleanderbay.version import resources
 
--- a/tests/process/world.py
+++ b/tests/process/world.py
@@ -4,16 +4,9 @@
 import itertools
 
 from oleanderbay.native import interfaces as native
-from oleanderbay.process import (
-    clock,
-    driver,
-    eligibility,
-    interfaces,
-    inventory,
-    orders,
-    proposer,
-    reports,
-)
+from oleanderbay.process import clock, interfaces
+from oleanderbay.process.groups import driver, orders, proposer
+from oleanderbay.process.observation import eligibility, inventory, reports
 from oleanderbay.standins import engine_state
 from oleanderbay.version import apply, catalogue, records, resources
 
--- a/tests/serving_path.py
+++ b/tests/serving_path.py
@@ -10,7 +10,8 @@
 from oleanderbay.native import engine_http
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import interfaces, serving, settings, telemetry
+from oleanderbay.process import interfaces, settings, telemetry
+from oleanderbay.process.serving import service as serving
 from oleanderbay.request import outcome
 from oleanderbay.standins import engine, engine_state, plain
 from oleanderbay.version import catalogue, resources
