--- a/oleanderbay/process/settings.py
+++ b/oleanderbay/process/settings.py
@@ -5,29 +5,13 @@
 from collections.abc import Iterator
 from typing import Any, get_type_hints
 
-from oleanderbay.process import checker, settings_text
+from oleanderbay.process import checker, sections, settings_text
 
 SettingsError = settings_text.SettingsError
 
 
-def _field(
-    default: Any = dataclasses.MISSING,
-    *,
-    low: float | None = None,
-    high: float | None = None,
-    choices: tuple[str, ...] = (),
-    empty: bool = True,
-) -> Any:
-    limits = {"low": low, "high": high, "choices": choices, "empty": empty}
-    return dataclasses.field(default=default, metadata=limits)
-
-
-def _ms(default: int, low: int = 1, high: int = 3_600_000) -> Any:
-    return _field(default, low=low, high=high)
-
-
 def _port(default: Any = dataclasses.MISSING) -> Any:
-    return _field(default, low=0, high=65_535)
+    return sections.setting(default, low=0, high=65_535)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -39,8 +23,8 @@
         zone: The platform's name of its availability zone.
     """
 
-    id: str = _field(empty=False)
-    zone: str = _field(empty=False)
+    id: str = sections.setting(empty=False)
+    zone: str = sections.setting(empty=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -61,15 +45,15 @@
         max_deadline_ms: Longest deadline that a caller may ask for.
     """
 
-    host: str = _field("127.0.0.1", empty=False)
+    host: str = sections.setting("127.0.0.1", empty=False)
     port: int = _port()
     advertise: str = ""
-    max_header_bytes: int = _field(16_384, low=1_024, high=1_048_576)
-    max_body_bytes: int = _field(16_777_216, low=1_024, high=1 << 34)
-    keyed_body_bytes: int = _field(1_048_576, low=1_024, high=1 << 26)
-    buffer_bytes: int = _field(65_536, low=0, high=1 << 24)
-    address_ttl_ms: int = _ms(5_000)
-    max_deadline_ms: int = _ms(600_000, high=86_400_000)
+    max_header_bytes: int = sections.setting(16_384, low=1_024, high=1_048_576)
+    max_body_bytes: int = sections.setting(16_777_216, low=1_024, high=1 << 34)
+    keyed_body_bytes: int = sections.setting(1_048_576, low=1_024, high=1 << 26)
+    buffer_bytes: int = sections.setting(65_536, low=0, high=1 << 24)
+    address_ttl_ms: int = sections.milliseconds(5_000)
+    max_deadline_ms: int = sections.milliseconds(600_000, high=86_400_000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,7 +65,7 @@
         port: Port; 0 takes any free one.
     """
 
-    host: str = _field("127.0.0.1", empty=False)
+    host: str = sections.setting("127.0.0.1", empty=False)
     port: int = _port()
 
 
@@ -107,12 +91,14 @@
             written at half of it.
     """
 
-    log: str = _field(empty=False)
-    instances: str = _field(empty=False)
+    log: str = sections.setting(empty=False)
+    instances: str = sections.setting(empty=False)
     weights: str = ""
-    instances_interval_ms: int = _ms(1_000)
-    appends_per_s: int = _field(50, low=1, high=1_000)
-    log_retention_ms: int = _ms(86_400_000, low=60_000, high=31_536_000_000)
+    instances_interval_ms: int = sections.milliseconds(1_000)
+    appends_per_s: int = sections.setting(50, low=1, high=1_000)
+    log_retention_ms: int = sections.milliseconds(
+        86_400_000, low=60_000, high=31_536_000_000
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -132,14 +118,16 @@
         max_attempts: Attempts of one request.
     """
 
-    connect_timeout_ms: int = _ms(1_000)
-    first_byte_timeout_ms: int = _ms(30_000)
-    stall_ms: int = _ms(5_000)
-    idle_ms: int = _ms(15_000)
-    keepalive_ms: int = _ms(2_000, low=1_000)
-    max_event_bytes: int = _field(262_144, low=1_024, high=1 << 24)
-    max_response_bytes: int = _field(8_388_608, low=1_024, high=1 << 30)
-    max_attempts: int = _field(4, low=1, high=16)
+    connect_timeout_ms: int = sections.milliseconds(1_000)
+    first_byte_timeout_ms: int = sections.milliseconds(30_000)
+    stall_ms: int = sections.milliseconds(5_000)
+    idle_ms: int = sections.milliseconds(15_000)
+    keepalive_ms: int = sections.milliseconds(2_000, low=1_000)
+    max_event_bytes: int = sections.setting(262_144, low=1_024, high=1 << 24)
+    max_response_bytes: int = sections.setting(
+        8_388_608, low=1_024, high=1 << 30
+    )
+    max_attempts: int = sections.setting(4, low=1, high=16)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -151,8 +139,8 @@
         max_wait_ms: Longest time that a request waits.
     """
 
-    max_queued: int = _field(256, low=1, high=100_000)
-    max_wait_ms: int = _ms(5_000)
+    max_queued: int = sections.setting(256, low=1, high=100_000)
+    max_wait_ms: int = sections.milliseconds(5_000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -166,37 +154,16 @@
             process at once.
     """
 
-    limit_ms: int = _ms(120_000, low=0, high=86_400_000)
-    second_signal: str = _field("abort", choices=("abort", "ignore"))
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class TelemetrySettings:
-    """Metrics and traces.
-
-    Attributes:
-        metrics: Exporter of metrics; `prometheus` is on the admin listener.
-        traces: Exporter of traces.
-        otlp_endpoint: Base address of the OTLP receiver over HTTP.
-        interval_ms: How often metrics are pushed by OTLP.
-    """
-
-    metrics: str = _field("prometheus", choices=("none", "prometheus", "otlp"))
-    traces: str = _field("none", choices=("none", "otlp"))
-    otlp_endpoint: str = ""
-    interval_ms: int = _ms(10_000)
+    limit_ms: int = sections.milliseconds(120_000, low=0, high=86_400_000)
+    second_signal: str = sections.setting("abort", choices=("abort", "ignore"))
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class LoggingSettings:
-    """Logs on standard error.
-
-    Attributes:
-        level: Lowest level that is written.
-    """
+class TelemetrySettings(sections.TelemetrySettings):
+    """Metrics and traces; an entry exposes metrics unless told otherwise."""
 
-    level: str = _field(
-        "info", choices=("debug", "info", "warning", "error", "critical")
+    metrics: str = sections.setting(
+        "prometheus", choices=sections.METRICS_EXPORTERS
     )
 
 
@@ -214,7 +181,7 @@
     admission: AdmissionSettings = AdmissionSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
-    logging: LoggingSettings = LoggingSettings()
+    logging: sections.LoggingSettings = sections.LoggingSettings()
 
 
 def load(path: pathlib.Path) -> Settings:
