Split the tests of groups, permits and keys by module

Each test now stands in the file of the module that it guards. The state machines have files of their own, as those of the configuration and of groups have. The entries and engines that the tests share are in world.py, engines.py and keyed_world.py. Texts of the tests are unchanged.

--- /dev/null
+++ b/tests/process/observation/test_eligibility.py
@@ -0,0 +1,50 @@
+"""Tests that only complete and healthy groups are offered."""
+
+from oleanderbay.native import interfaces as native
+from tests.process import world as worlds
+
+
+async def test_one_flap_does_not_rebuild_the_group():
+    """Guards against a load of weights for a pause of a few seconds."""
+    world = await worlds.started()
+    group = world.groups()[0]
+    world.engine(group.members[0]).down = True
+    await world.run(6_000)
+    world.engine(group.members[0]).down = False
+    await world.run(3_000)
+    assert group.id not in world.offered_by_all(), "must be stable for 5 s"
+    await world.run(6_000)
+    assert group.id in world.offered_by_all()
+    assert world.groups()[0].epoch == group.epoch
+
+
+async def test_leaving_instance_gets_no_new_work():
+    """Guards against new work at an instance that announced to leave (P8)."""
+    world = await worlds.started()
+    group = world.groups()[0]
+    id = group.members[0]
+    world.lines[id] = worlds.replaced(
+        world.lines[id], state=native.InstanceState.LEAVING
+    )
+    await world.run(1_000)
+    assert all(group.id not in ids for ids in world.offered().values())
+
+
+async def test_one_reader_cut_off_from_a_member():
+    """Guards against a partition of one reader that stops a whole group."""
+    world = await worlds.started(entries=4)
+    group = worlds.by_zone(world, "za")[0]
+    world.cut.add(("e0", group.members[0]))
+    await world.run(5_000)
+    assert group.id in world.offered_by_all()
+
+
+async def test_doubt_spreads_and_ends():
+    """Guards against an entry that keeps a suspicion to itself."""
+    world = await worlds.started()
+    group = world.groups()[0]
+    world.entries[0].eligible.doubt(group.id, "connection reset")
+    await world.deliver(world.entries[0])
+    assert all(group.id not in ids for ids in world.offered().values())
+    await world.run(6_000)
+    assert group.id in world.offered_by_all()
--- a/tests/process/observation/test_reports.py
+++ b/tests/process/observation/test_reports.py
@@ -1,8 +1,8 @@
-"""Exchange of what readers say between entries."""
+"""Tests of the exchange of judgements between entries."""
 
 import pytest
 
-from oleanderbay.process.observation import members, reports, sightings
+from oleanderbay.process.observation import reports, sightings
 from tests.process import world as worlds
 
 
@@ -32,39 +32,3 @@
     world.engines.clear()
     await world.clock.advance(sightings.JUDGEMENT_MAX_AGE_MS)
     assert not world.entries[2].eligible.upstreams("s")
-
-
-@pytest.mark.parametrize(
-    "body",
-    [
-        {},
-        {"origin": "e", "sequence": "x"},
-        {
-            "origin": "e",
-            "sequence": 1,
-            "age_ms": 0,
-            "full": True,
-            "groups": {"g": [1, "ok"]},
-            "gone": [],
-            "idle": {},
-        },
-    ],
-)
-def test_malformed_update(body):
-    """Guards against a malformed message that ends the peer's link."""
-    with pytest.raises(sightings.SightingError):
-        sightings.Sightings().apply_update(body, 0)
-
-
-def test_state_survives_packing():
-    """Guards against a field that peers read as another one."""
-    state = members.GroupState(
-        epoch=3,
-        status=members.Status.SILENT,
-        reason="a0: no recent report",
-        missing={"a0": (700, False)},
-        time_per_token_ms=2.5,
-        slow="a1",
-        age_ms=40,
-    )
-    assert sightings.unpack_state(sightings.pack_state(state)) == state
--- a/tests/process/world.py
+++ b/tests/process/world.py
@@ -7,8 +7,8 @@
 from oleanderbay.process import clock, interfaces
 from oleanderbay.process.groups import driver, orders, proposer
 from oleanderbay.process.observation import eligibility, inventory, reports
-from oleanderbay.standins import engine_state
 from oleanderbay.version import apply, catalogue, records, resources
+from tests.process import engines
 
 TICK_MS = 500
 
@@ -16,87 +16,6 @@
 SETTLE_MS = eligibility.REBUILD_INTERVAL_MS
 
 
-class Engine(engine_state.EngineState):
-    """An engine whose control side is called directly."""
-
-    def __init__(self, world, line, **settings):
-        super().__init__(
-            line.id, engine_state.EngineSettings(**settings), world.clock
-        )
-        self.line = line
-        self.down = False
-        self.lose_answers = 0
-        self.held_orders = []
-        self.hold_orders = False
-
-    def reach(self):
-        if self.down:
-            raise native.PlatformUnavailableError(f"{self.instance} is down")
-
-    def add_stream(self, request_id="stream"):
-        """Starts a request that runs until `running` is cleared."""
-        self.running.append(_Stream(request_id))
-
-
-class _Stream:
-    """A request in flight; it is its own task and ignores being cancelled."""
-
-    def __init__(self, request_id):
-        self.request_id = request_id
-        self.task = self
-
-    def cancel(self):
-        pass
-
-
-class EngineClient:
-    """The adapter that one entry uses for an engine."""
-
-    def __init__(self, world, entry, engine):
-        self.world, self.entry, self.target = world, entry, engine
-
-    def _reach(self):
-        self.target.reach()
-        if (self.entry, self.target.instance) in self.world.cut:
-            raise native.PlatformUnavailableError("partition")
-
-    async def report(self, timeout_ms):
-        self._reach()
-        return self.target.report()
-
-    async def order(self, order, timeout_ms):
-        self._reach()
-        sent = (self.world.clock.now_ms(), order)
-        self.world.sent_orders.append((self.target.instance, *sent))
-        if self.target.hold_orders:
-            self.target.held_orders.append(order)
-            raise native.PlatformUnknownError("held in the network")
-        refusal = self.target.order(order)
-        if refusal:
-            raise native.OrderRefusedError(refusal)
-        if self.target.lose_answers:
-            self.target.lose_answers -= 1
-            raise native.PlatformUnknownError("answer lost")
-        return self.target.report()
-
-    async def cache_events(self, since):
-        self._reach()
-        for event in self.target.events:
-            if event.sequence > since:
-                yield event
-
-    async def export_cache(self, block, timeout_ms):
-        self._reach()
-        self.world.clock.set_ms(
-            self.world.clock.now_ms() + self.world.block_move_ms
-        )
-        return self.target.cache[block]
-
-    async def import_cache(self, block, data, timeout_ms):
-        self._reach()
-        self.target.use_cache((block,))
-
-
 class Entry:
     """One entry's group services."""
 
@@ -149,7 +68,9 @@
         )
 
     def engine_at(self, address):
-        return EngineClient(self.world, self.id, self.world.engines[address])
+        return engines.EngineClient(
+            self.world, self.id, self.world.engines[address]
+        )
 
     def confirmation_age_ms(self):
         return self.world.clock.now_ms() - self.confirmed_ms
@@ -219,7 +140,7 @@
         self.appended_ms = []
         self.after_tick = lambda: None
         self.engines = {
-            line.address: Engine(self, line, **engine_settings)
+            line.address: engines.Engine(self, line, **engine_settings)
             for line in lines
         }
         self.lines = {line.id: line for line in lines}
@@ -372,3 +293,21 @@
 
 def replaced(line, **fields):
     return dataclasses.replace(line, **fields)
+
+
+async def started(domains="ab", per_domain=3, groups=2, **options):
+    """A world in which every group that fits serves."""
+    service = options.pop("service", {})
+    world = World(
+        lines_of(domains, per_domain),
+        items_of(sorted({d[0] for d in domains}), groups, **service),
+        **options,
+    )
+    await world.run(5_000)
+    assert len(world.offered_by_all()) == groups
+    return world
+
+
+def by_zone(world, zone):
+    """The groups in a zone, in the order of their ids."""
+    return [group for group in world.groups() if group.zone == zone]
--- /dev/null
+++ b/tests/request/conftest.py
@@ -0,0 +1,13 @@
+"""Fixtures of the tests of calls with keys."""
+
+import pytest
+
+from tests.request import keyed_world
+
+
+@pytest.fixture
+async def world():
+    made = keyed_world.World()
+    await made.advance(500)
+    yield made
+    await made.cluster.close()
--- a/tests/request/test_keys.py
+++ b/tests/request/test_keys.py
@@ -1,5 +1,7 @@
 """Tests of keys and of the tickets that they may begin with."""
 
+import uuid
+
 import pytest
 
 from oleanderbay.request import keys, outcome
@@ -31,3 +33,35 @@
     refused = keys.parse_key("scope", value, issued_header="1")
     assert isinstance(refused, outcome.Refusal)
     assert refused.outcome is outcome.Outcome.NOT_RUN
+
+
+@pytest.mark.parametrize(
+    ("value", "issued"),
+    (
+        ("", "1"),
+        ("x" * 256, "1"),
+        ("a\x00b", "1"),
+        ("k", ""),
+        ("k", "-1"),
+        ("k", "²"),
+        ("k", "1" * 17),
+        ("tk.x:k", ""),
+        ("tk.zz.n.s:k", ""),
+        ("tk.-1.n.s:k", ""),
+        ("tk.1.n.s", ""),
+        ("tk.1.n.s:", ""),
+        (str(uuid.UUID(int=0, version=4)), ""),
+    ),
+)
+def test_bad_key_headers_are_refused(value, issued):
+    """A key whose age is unknown can never be forgotten."""
+    result = keys.parse_key("s", value, issued)
+    assert isinstance(result, outcome.Refusal)
+    assert result.outcome is outcome.Outcome.NOT_RUN
+
+
+def test_uuid7_carries_its_time_of_issue():
+    """The first 48 bits of a UUIDv7 are its milliseconds."""
+    at_ms = 1_700_000_000_123
+    value = uuid.UUID(int=(at_ms << 80) | (7 << 76) | (2 << 62))
+    assert keys.parse_key("s", str(value)).issued_ms == at_ms
