Separate operators' answers and completion requests from the listeners

operators.listener held the gRPC server and the answers to every call; serving.callers held the HTTP listener and the check of the fields of completion requests.

The answers are now in operators.servicer and the fields in serving.completions.

--- a/oleanderbay/process/entry.py
+++ b/oleanderbay/process/entry.py
@@ -20,8 +20,12 @@
 from oleanderbay.process import settings as settings_module
 from oleanderbay.process.configuration import replication, submission, versions
 from oleanderbay.process.groups import service as groups
-from oleanderbay.process.operators import admin, watches
-from oleanderbay.process.operators import listener as operators
+from oleanderbay.process.operators import (
+    admin,
+    listener,
+    servicer,
+    watches,
+)
 from oleanderbay.process.serving import service as serving
 from oleanderbay.request import claim_log, outcome
 
@@ -133,8 +137,8 @@
             engine_at=engine_http.HttpEngine,
         )
         self.serving.listener.config = self.callers_config
-        self.operators = operators.Listener(
-            operators.Servicer(
+        self.operators = listener.Listener(
+            servicer.Servicer(
                 submission.Submission(
                     source=source,
                     appender=self.replication.appender,
--- a/oleanderbay/process/serving/callers.py
+++ b/oleanderbay/process/serving/callers.py
@@ -14,13 +14,12 @@
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces, watch
 from oleanderbay.process import settings as settings_module
-from oleanderbay.process.serving import addresses
+from oleanderbay.process.serving import addresses, completions
 from oleanderbay.request import attempt, outcome, pipeline
 from oleanderbay.version import resources, routes
 
 MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
 _PLAIN_PATH = re.compile(r"/s/([^/?]+)(/[^?]*)?(\?.*)?")
-MAX_TOKENS = 1_000_000
 
 log = structlog.get_logger()
 
@@ -185,7 +184,7 @@
             fields = json.loads(body)
         except (ValueError, RecursionError):
             return caller.bad_request("the request body is not valid JSON")
-        wrong = _wrong_field(fields, path)
+        wrong = completions.wrong_field(fields, path)
         if wrong:
             return caller.bad_request(wrong)
         named = self._names(context, fields["model"])
@@ -200,7 +199,7 @@
             path=path,
             headers={"Content-Type": "application/json"},
             body=body,
-            prompt=_prompt(fields),
+            prompt=completions.prompt_of(fields),
             stream=bool(fields.get("stream", False)),
         )
 
@@ -317,53 +316,6 @@
         )
 
 
-def _wrong_field(fields: Any, path: str) -> str:
-    """Says what is wrong with a completion request; empty if nothing."""
-    if not isinstance(fields, dict):
-        return "the request body must be a JSON object"
-    model = fields.get("model")
-    if not isinstance(model, str) or not model:
-        return "the field 'model' must be a non-empty string"
-    if not isinstance(fields.get("stream", False), bool | None):
-        return "the field 'stream' must be true or false"
-    for name in ("max_tokens", "max_completion_tokens"):
-        count = fields.get(name)
-        if count is not None and (
-            not isinstance(count, int)
-            or isinstance(count, bool)
-            or not 1 <= count <= MAX_TOKENS
-        ):
-            return f"the field {name!r} must be from 1 to {MAX_TOKENS}"
-    if path.endswith("/chat/completions"):
-        messages = fields.get("messages")
-        if not isinstance(messages, list) or not messages:
-            return "the field 'messages' must be a non-empty list"
-        for message in messages:
-            if not isinstance(message, dict) or not isinstance(
-                message.get("role"), str
-            ):
-                return "each message must be an object with a role"
-            if not isinstance(message.get("content"), str | list | None):
-                return "the content of a message must be a string or a list"
-        return ""
-    prompt = fields.get("prompt")
-    if isinstance(prompt, list):
-        good = all(isinstance(part, str) for part in prompt) and bool(prompt)
-    else:
-        good = isinstance(prompt, str)
-    return "" if good else "the field 'prompt' must be a string or strings"
-
-
-def _prompt(fields: dict[str, Any]) -> str:
-    prompt = fields.get("prompt")
-    if isinstance(prompt, str):
-        return prompt
-    if isinstance(prompt, list):
-        return "\n".join(prompt)
-    parts = [m.get("content") for m in fields.get("messages", ())]
-    return "\n".join(p if isinstance(p, str) else json.dumps(p) for p in parts)
-
-
 def _late() -> outcome.Refusal:
     return outcome.Refusal(
         reason=outcome.Reason.DEADLINE,
--- a/tests/cli/test_operators_commands.py
+++ b/tests/cli/test_operators_commands.py
@@ -10,7 +10,8 @@
 from oleanderbay.cli import client, declared, main
 from oleanderbay.process import clock
 from oleanderbay.process.configuration import submission
-from oleanderbay.process.operators import listener as operators
+from oleanderbay.process.operators import listener as listeners
+from oleanderbay.process.operators import servicer as servicers
 from oleanderbay.process.operators import watches
 from tests.process.configuration import test_submission
 
@@ -25,10 +26,10 @@
 async def entry():
     fake = test_submission.FakeEntry()
     fake.use_clock(clock.SystemClock())
-    servicer = operators.Servicer(
+    servicer = servicers.Servicer(
         fake.submissions, watches.Watches(fake, fake.submissions.clock)
     )
-    listener = operators.Listener(servicer, "127.0.0.1:0")
+    listener = listeners.Listener(servicer, "127.0.0.1:0")
     await listener.start()
     fake.address = f"127.0.0.1:{listener.port}"
     yield fake
--- a/tests/process/operators/test_listener.py
+++ b/tests/process/operators/test_servicer.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 
 from oleanderbay.process import clock
-from oleanderbay.process.operators import listener as operators
+from oleanderbay.process.operators import listener as listeners
+from oleanderbay.process.operators import servicer as servicers
 from oleanderbay.process.operators import watches
 from oleanderbay.schema import convert, operators_pb2, operators_pb2_grpc
 from oleanderbay.version import records
@@ -24,10 +25,10 @@
 async def serve():
     entry = test_submission.FakeEntry()
     entry.use_clock(clock.SystemClock())
-    servicer = operators.Servicer(
+    servicer = servicers.Servicer(
         entry.submissions, watches.Watches(entry, entry.clock)
     )
-    listener = operators.Listener(servicer, "127.0.0.1:0")
+    listener = listeners.Listener(servicer, "127.0.0.1:0")
     await listener.start()
     address = f"127.0.0.1:{listener.port}"
     try:
@@ -246,7 +247,7 @@
 async def test_any_resources_get_a_typed_answer(items, text, number):
     """Guards against exceptions that reach gRPC as a stack trace."""
     entry = test_submission.FakeEntry()
-    servicer = operators.Servicer(
+    servicer = servicers.Servicer(
         entry.submissions, watches.Watches(entry, entry.clock)
     )
     change = convert.change_to_message(
@@ -290,7 +291,7 @@
         # gRPC answers bytes that don't parse by itself.
         return
     entry = test_submission.FakeEntry()
-    servicer = operators.Servicer(
+    servicer = servicers.Servicer(
         entry.submissions, watches.Watches(entry, entry.clock)
     )
     with contextlib.suppress(AbortedError):
