Give each matter of permits a module of its own

permits.asks held the settings, the choice of the owner and the messages; permits.grants held an owner's accounts next to its decisions. The names Ask, _Holding and told did not say what they are, and grants were packed and read in the service instead of next to the requests.

Messages on the wire are unchanged.

--- a/oleanderbay/process/permits/grants.py
+++ b/oleanderbay/process/permits/grants.py
@@ -1,125 +1,10 @@
 """The owner's side of permits: grants of requests in flight at upstreams."""
 
-import collections
 from collections.abc import Mapping, Sequence
 
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
-from oleanderbay.process.permits import asks
-from oleanderbay.request import concurrency
-
-# A request needs this long at most from its holder to the upstream, and a
-# message from a holder to the owner. Reports this close to a message are not
-# compared with it.
-SLACK_MS = 100
-
-
-class _Holding:
-    """What one holder has at one upstream."""
-
-    __slots__ = (
-        "before",
-        "before_until_ms",
-        "count",
-        "expires_ms",
-        "granted_ms",
-        "history",
-        "in_flight",
-        "until_ms",
-        "want",
-    )
-
-    def __init__(self) -> None:
-        # When a message was handled, its `in_flight` and its `ended`.
-        self.history: collections.deque[tuple[int, int, int]] = (
-            collections.deque(maxlen=32)
-        )
-        self.count = 0
-        self.until_ms = 0
-        # An answer may be lost, so what the holder had before counts until
-        # its next message shows that it took the answer.
-        self.before = 0
-        self.before_until_ms = 0
-        self.in_flight = 0
-        self.want = 0
-        self.expires_ms = 0
-        self.granted_ms = -1
-
-    def used(self, now_ms: int) -> int:
-        """Returns what the holder may have in flight at a time."""
-        used = self.in_flight
-        if now_ms < self.until_ms:
-            used = max(used, self.count)
-        if now_ms < self.before_until_ms:
-            used = max(used, self.before)
-        return used
-
-    def told(self, ask: asks.Ask, now_ms: int, ttl_ms: int) -> None:
-        """Takes note of what the holder says."""
-        self.in_flight = ask.in_flight
-        self.want = ask.want
-        self.before = ask.held
-        self.before_until_ms = max(self.until_ms, self.before_until_ms)
-        self.count = 0
-        self.expires_ms = now_ms + ttl_ms
-        if not self.history or now_ms - self.history[-1][0] >= SLACK_MS:
-            self.history.append((now_ms, ask.in_flight, ask.ended))
-
-    def running_during(self, from_ms: int, to_ms: int) -> int:
-        """Returns how many of its requests ran all the time, at least.
-
-        These are the requests of a message before, less all that had ended
-        by a message after it.
-        """
-        before = None
-        for told_ms, in_flight, ended in self.history:
-            if told_ms <= from_ms - SLACK_MS:
-                before = (in_flight, ended)
-            elif before is not None and told_ms >= to_ms + SLACK_MS:
-                gone = ended - before[1]
-                return max(0, before[0] - gone) if gone >= 0 else 0
-        return 0
-
-
-class _Owned:
-    """What an owner knows of one upstream."""
-
-    def __init__(self, upstream: interfaces.Upstream, since_ms: int) -> None:
-        self.upstream = upstream
-        self.since_ms = since_ms
-        self.limit = concurrency.AdaptiveLimit(upstream)
-        self.seeded = False
-        self.holders: dict[str, _Holding] = {}
-        # Requests at the upstream that no holder accounts for; None while
-        # nothing is known. Reports from `orphans_from_ms` on bound them.
-        self.orphans: int | None = None
-        self.orphans_from_ms = -1
-
-    def bound_orphans(
-        self,
-        load: interfaces.UpstreamLoad | None,
-        now_ms: int,
-        settings: asks.PermitSettings,
-    ) -> None:
-        """Lowers the number of orphans by what is known now.
-
-        A report and the holders' newest messages are from different times,
-        so the larger of both could miss a request that only one contains.
-        """
-        if now_ms - self.orphans_from_ms >= settings.orphan_hold_ms:
-            self.orphans = 0
-        if load is None or not load.reported_at_ms:
-            # Without reports only the holders' own figures can be had.
-            self.orphans = self.orphans or 0
-            return
-        from_ms = load.reported_at_ms - settings.report_age_ms
-        if from_ms >= self.orphans_from_ms:
-            running = load.running + load.queued
-            for holding in self.holders.values():
-                running -= holding.running_during(from_ms, load.reported_at_ms)
-            running = max(0, running)
-            if self.orphans is None or running < self.orphans:
-                self.orphans = running
+from oleanderbay.process.permits import accounts, messages, ownership
 
 
 class Grants:
@@ -130,15 +15,15 @@
         clock: clocks.Clock,
         membership: interfaces.MembershipView,
         eligible: interfaces.EligibleUpstreams,
-        settings: asks.PermitSettings,
+        settings: ownership.PermitSettings,
     ) -> None:
         self.clock = clock
         self.membership = membership
         self.eligible = eligible
         self.settings = settings
-        self._owned: dict[str, _Owned] = {}
+        self._owned: dict[str, accounts.OwnedUpstream] = {}
         self._by_service: dict[str, dict[str, interfaces.Upstream]] = {}
-        self._newest_ask: dict[str, int] = {}
+        self._newest_sequence: dict[str, int] = {}
         self._view = ""
         self._view_since_ms = 0
         self._majority_since_ms = -1
@@ -154,13 +39,13 @@
             self._view_since_ms = now_ms
             live = self.membership.live()
             me = self.membership.me.start_id
-            self._newest_ask = {
-                entry.start_id: self._newest_ask[entry.start_id]
+            self._newest_sequence = {
+                entry.start_id: self._newest_sequence[entry.start_id]
                 for entry in live
-                if entry.start_id in self._newest_ask
+                if entry.start_id in self._newest_sequence
             }
             for id in list(self._owned):
-                if asks.owner_of(id, live).start_id != me:
+                if ownership.owner_of(id, live).start_id != me:
                     del self._owned[id]
         confirmations = self.membership.view_confirmations(
             self.settings.view_max_age_ms
@@ -192,36 +77,40 @@
         holder: str,
         sequence: int,
         service: str,
-        lines: Sequence[asks.Ask],
-    ) -> dict[str, asks.Grant | None]:
+        lines: Sequence[messages.PermitRequest],
+    ) -> dict[str, messages.Grant | None]:
         """Answers a holder's request; None means no owner."""
         has_majority = self.check()
         now_ms = self.clock.now_ms()
         # A request that was overtaken on another connection would lower
         # what this holder is known to have in flight.
-        newest = self._newest_ask.get(holder, -1)
+        newest = self._newest_sequence.get(holder, -1)
         if sequence < newest:
-            return {ask.upstream: None for ask in lines}
-        self._newest_ask[holder] = sequence
-        result: dict[str, asks.Grant | None] = {}
-        for ask in lines:
-            owned = self._find(service, ask.upstream)
+            return {request.upstream: None for request in lines}
+        self._newest_sequence[holder] = sequence
+        result: dict[str, messages.Grant | None] = {}
+        for request in lines:
+            owned = self._find(service, request.upstream)
             if owned is None:
-                result[ask.upstream] = None
+                result[request.upstream] = None
                 continue
-            holding = owned.holders.setdefault(holder, _Holding())
-            if ask.tag == asks.start_tag(owned.upstream.start_id):
-                owned.limit.on_answers(ask.done, ask.failed, ask.worst_ms)
+            state = owned.holders.setdefault(holder, accounts.Holder())
+            if request.tag == messages.start_tag(owned.upstream.start_id):
+                owned.limit.on_answers(
+                    request.done, request.failed, request.worst_ms
+                )
             since_ms = max(owned.since_ms, self._majority_since_ms)
             ready_ms = since_ms + self.settings.hold_ms
             if not has_majority or now_ms < ready_ms:
                 # What holders have in flight is kept, to begin with it.
-                holding.told(ask, now_ms, self.settings.permit_ttl_ms)
-                result[ask.upstream] = None
+                state.note_request(request, now_ms, self.settings.permit_ttl_ms)
+                result[request.upstream] = None
                 continue
             if owned.orphans is None and owned.orphans_from_ms < ready_ms:
                 owned.orphans_from_ms = ready_ms
-            result[ask.upstream] = self._grant(owned, holding, ask, now_ms)
+            result[request.upstream] = self._grant(
+                owned, state, request, now_ms
+            )
         return result
 
     def limit(self, upstream: str) -> int | None:
@@ -232,7 +121,7 @@
     def _forget(self, service: str) -> None:
         self._by_service.pop(service, None)
 
-    def _find(self, service: str, id: str) -> _Owned | None:
+    def _find(self, service: str, id: str) -> accounts.OwnedUpstream | None:
         upstreams = self._by_service.get(service)
         if upstreams is None:
             upstreams = {u.id: u for u in self.eligible.upstreams(service)}
@@ -244,15 +133,15 @@
         if owned is None:
             live = self.membership.live()
             me = self.membership.me.start_id
-            if asks.owner_of(id, live).start_id != me:
+            if ownership.owner_of(id, live).start_id != me:
                 return None
-            owned = _Owned(upstream, self._view_since_ms)
+            owned = accounts.OwnedUpstream(upstream, self._view_since_ms)
             self._owned[id] = owned
         owned.upstream = upstream
         self._observe(owned)
         return owned
 
-    def _observe(self, owned: _Owned) -> bool:
+    def _observe(self, owned: accounts.OwnedUpstream) -> bool:
         reset = owned.limit.on_upstream(owned.upstream)
         load = self.eligible.load(owned.upstream.id)
         if load is not None:
@@ -260,11 +149,15 @@
         return reset
 
     def _grant(
-        self, owned: _Owned, holding: _Holding, ask: asks.Ask, now_ms: int
-    ) -> asks.Grant:
-        mine = max(holding.used(now_ms), ask.in_flight)
+        self,
+        owned: accounts.OwnedUpstream,
+        state: accounts.Holder,
+        request: messages.PermitRequest,
+        now_ms: int,
+    ) -> messages.Grant:
+        mine = max(state.used(now_ms), request.in_flight)
         # The holder is alive, so it says itself what it has in flight.
-        holding.told(ask, now_ms, self.settings.permit_ttl_ms)
+        state.note_request(request, now_ms, self.settings.permit_ttl_ms)
         self._expire(owned, now_ms)
         load = self.eligible.load(owned.upstream.id)
         owned.bound_orphans(load, now_ms, self.settings)
@@ -275,28 +168,33 @@
             owned.limit.seed(max(running, known))
         limit = owned.limit.limit
         others = sum(
-            h.used(now_ms) for h in owned.holders.values() if h is not holding
+            h.used(now_ms) for h in owned.holders.values() if h is not state
         )
         if owned.limit.is_cold:
             others += limit if owned.orphans is None else owned.orphans
         else:
             others = max(others, running - mine)
         wanted = sum(h.want for h in owned.holders.values())
-        count = min(ask.want, max(0, limit - others))
+        count = min(request.want, max(0, limit - others))
         if wanted > limit:
-            count = min(count, self._fair_share(owned, holding, limit))
-        holding.count = count
-        holding.until_ms = now_ms + self.settings.permit_ttl_ms
+            count = min(count, self._fair_share(owned, state, limit))
+        state.count = count
+        state.until_ms = now_ms + self.settings.permit_ttl_ms
         if count:
-            holding.granted_ms = now_ms
-        return asks.Grant(
+            state.granted_ms = now_ms
+        return messages.Grant(
             count=count,
-            tag=asks.start_tag(owned.upstream.start_id),
+            tag=messages.start_tag(owned.upstream.start_id),
             cold=owned.limit.is_cold,
             contended=wanted > limit,
         )
 
-    def _fair_share(self, owned: _Owned, holding: _Holding, limit: int) -> int:
+    def _fair_share(
+        self,
+        owned: accounts.OwnedUpstream,
+        state: accounts.Holder,
+        limit: int,
+    ) -> int:
         """Max-min share of a holder when all want more than the limit."""
         # Of holders with the same share, those with requests in flight come
         # first, since they cannot give them up; then the longest unserved.
@@ -315,20 +213,21 @@
             if left and shares[id(other)] < other.want:
                 shares[id(other)] += 1
                 left -= 1
-        return shares.get(id(holding), 0)
+        return shares.get(id(state), 0)
 
-    def _expire(self, owned: _Owned, now_ms: int) -> None:
+    def _expire(self, owned: accounts.OwnedUpstream, now_ms: int) -> None:
         """Counts permits that were not renewed as orphans.
 
         Their requests may still run.
         """
-        for holder, holding in list(owned.holders.items()):
-            if holding.expires_ms <= now_ms:
+        for holder, state in list(owned.holders.items()):
+            if state.expires_ms <= now_ms:
                 del owned.holders[holder]
                 if owned.orphans is not None:
                     owned.orphans += max(
-                        holding.count, holding.before, holding.in_flight
+                        state.count, state.before, state.in_flight
                     )
                 owned.orphans_from_ms = max(
-                    owned.orphans_from_ms, holding.expires_ms + SLACK_MS
+                    owned.orphans_from_ms,
+                    state.expires_ms + accounts.SLACK_MS,
                 )
--- a/oleanderbay/process/permits/holding.py
+++ b/oleanderbay/process/permits/holding.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from oleanderbay.process import interfaces
-from oleanderbay.process.permits import asks
+from oleanderbay.process.permits import messages, ownership
 from oleanderbay.request import outcome
 
 
@@ -43,11 +43,32 @@
 
 
 class Held:
-    """What this entry holds at one upstream."""
+    """What this entry holds at one upstream.
+
+    Attributes:
+        upstream: The upstream as last known.
+        tag: `start_tag` of its process start.
+        granted: Requests that this entry may have in flight.
+        valid_until_ms: Until when `granted` holds.
+        last_share: The last grant; the limit while there is no owner.
+        was_warm: Whether the upstream was warm at the last grant.
+        contended: Whether other holders wanted more at the last grant.
+        contended_ms: When that was so last; -1 if never.
+        no_owner: Whether the last request found no owner.
+        in_flight: Requests that hold a permit.
+        waiters: Deadline and result of each request that waits.
+        urgent: Whether the owner is to be asked at once.
+        used_ms: When a request last began or ended.
+        polled_ms: When the owner was last asked.
+        done: Answers since the last request to the owner.
+        failed: Failures since then.
+        worst_ms: Slowest time to first token since then.
+        ended: All requests that have ended.
+    """
 
     def __init__(self, upstream: interfaces.Upstream, now_ms: int) -> None:
         self.upstream = upstream
-        self.tag = asks.start_tag(upstream.start_id)
+        self.tag = messages.start_tag(upstream.start_id)
         self.granted = 0
         self.valid_until_ms = -1
         self.last_share = 0
@@ -103,7 +124,7 @@
         )
         return self.in_flight + len(self.waiters) + spare
 
-    def is_due(self, now_ms: int, settings: asks.PermitSettings) -> bool:
+    def is_due(self, now_ms: int, settings: ownership.PermitSettings) -> bool:
         """Whether the owner has to be asked now."""
         if self.urgent:
             return True
@@ -114,7 +135,7 @@
             return since_ms >= settings.permit_ttl_ms // 2
         return False
 
-    def is_idle(self, now_ms: int, settings: asks.PermitSettings) -> bool:
+    def is_idle(self, now_ms: int, settings: ownership.PermitSettings) -> bool:
         """Whether nothing is left to keep.
 
         Evidence for an upstream that has no owner any more is dropped.
@@ -128,11 +149,13 @@
             and now_ms - self.used_ms >= settings.idle_ms
         )
 
-    def ask(self, now_ms: int, settings: asks.PermitSettings) -> asks.Ask:
+    def next_request(
+        self, now_ms: int, settings: ownership.PermitSettings
+    ) -> messages.PermitRequest:
         """Returns the line for the owner and marks it as sent."""
         self.urgent = False
         self.polled_ms = now_ms
-        return asks.Ask(
+        return messages.PermitRequest(
             upstream=self.upstream.id,
             tag=self.tag,
             want=self.want(now_ms, settings.idle_ms),
--- a/oleanderbay/process/permits/permits.py
+++ b/oleanderbay/process/permits/permits.py
@@ -1,4 +1,4 @@
-"""The holder's side of permits, and their messages."""
+"""Acquires permits of upstreams and exchanges messages about them."""
 
 import asyncio
 import collections
@@ -8,7 +8,7 @@
 
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
-from oleanderbay.process.permits import asks, grants, holding
+from oleanderbay.process.permits import grants, holding, messages, ownership
 from oleanderbay.request import outcome
 
 KIND = "permit"
@@ -30,14 +30,14 @@
         transport: interfaces.PeerTransport,
         membership: interfaces.MembershipView,
         eligible: interfaces.EligibleUpstreams,
-        settings: asks.PermitSettings | None = None,
+        settings: ownership.PermitSettings | None = None,
     ) -> None:
         super().__init__()
         self.clock = clock
         self.transport = transport
         self.membership = membership
         self.eligible = eligible
-        self.settings = settings or asks.PermitSettings()
+        self.settings = settings or ownership.PermitSettings()
         self.grants = grants.Grants(clock, membership, eligible, self.settings)
         self._held: dict[str, holding.Held] = {}
         self._owners: dict[str, interfaces.Entry] = {}
@@ -141,9 +141,8 @@
 
     async def on_stop(self) -> None:
         """Refuses what waits and ends the messages under way."""
-        now_ms = self.clock.now_ms()
         for held in self._held.values():
-            self._refuse_waiters(held, now_ms, "the entry stops")
+            self._refuse_waiters(held, "the entry stops")
         tasks = list(self._asking.values())
         for task in tasks:
             task.cancel()
@@ -155,7 +154,7 @@
             held = self._held[upstream.id] = holding.Held(upstream, now_ms)
         elif held.upstream is not upstream:
             if held.upstream.start_id != upstream.start_id:
-                held.tag = asks.start_tag(upstream.start_id)
+                held.tag = messages.start_tag(upstream.start_id)
                 held.clear_grant()
                 # Requests in flight at the process before have ended there;
                 # counting them until they are closed errs to the safe side.
@@ -174,9 +173,7 @@
                 self._hold(upstream, now_ms)
             else:
                 held.clear_grant()
-                self._refuse_waiters(
-                    held, now_ms, "the upstream may get no more work"
-                )
+                self._refuse_waiters(held, "the upstream may get no more work")
 
     def _room(self, held: holding.Held, now_ms: int) -> int:
         return held.room(
@@ -192,7 +189,7 @@
             self._owners = {}
         owner = self._owners.get(upstream)
         if owner is None:
-            owner = asks.owner_of(upstream, self.membership.live())
+            owner = ownership.owner_of(upstream, self.membership.live())
             self._owners[upstream] = owner
         return owner
 
@@ -224,22 +221,25 @@
     async def _exchange(
         self, owner: interfaces.Entry, due: list[holding.Held], now_ms: int
     ) -> None:
-        by_service: dict[str, list[asks.Ask]] = {}
+        by_service: dict[str, list[messages.PermitRequest]] = {}
         for held in due:
             by_service.setdefault(held.upstream.service, []).append(
-                held.ask(now_ms, self.settings)
+                held.next_request(now_ms, self.settings)
             )
         self._sequence += 1
         sequence = self._sequence
         me = self.membership.me.start_id
-        answer: dict[str, asks.Grant | None] = {}
+        answer: dict[str, messages.Grant | None] = {}
         if owner.start_id == me:
             for service, lines in by_service.items():
                 answer.update(self.grants.handle(me, sequence, service, lines))
         else:
             body = [
                 sequence,
-                {s: asks.encode_asks(lines) for s, lines in by_service.items()},
+                {
+                    s: messages.encode_requests(lines)
+                    for s, lines in by_service.items()
+                },
             ]
             try:
                 data = await self.transport.request(
@@ -248,32 +248,29 @@
                     body,
                     self.settings.request_timeout_ms,
                 )
-                answer = {
-                    id: asks.Grant(*line) if line is not None else None
-                    for id, line in data.items()
-                }
-            except (interfaces.PeerError, TypeError, AttributeError):
+                answer = messages.decode_grants(data)
+            except (interfaces.PeerError, ValueError):
                 answer = {}
-        sent = {a.upstream: a for lines in by_service.values() for a in lines}
+        sent = {r.upstream: r for lines in by_service.values() for r in lines}
         for held in due:
-            ask = sent[held.upstream.id]
-            self._take(held, ask, answer.get(held.upstream.id), now_ms)
+            id = held.upstream.id
+            self._apply_grant(held, sent[id], answer.get(id), now_ms)
 
-    def _take(
+    def _apply_grant(
         self,
         held: holding.Held,
-        ask: asks.Ask,
-        grant: asks.Grant | None,
+        request: messages.PermitRequest,
+        grant: messages.Grant | None,
         sent_ms: int,
     ) -> None:
-        """Takes an owner's line; validity counts from when it was asked."""
+        """Applies an owner's answer; it is valid from when it was asked."""
         now_ms = self.clock.now_ms()
         if grant is None:
             held.no_owner = True
         else:
             held.no_owner = False
-            held.done -= ask.done
-            held.failed -= ask.failed
+            held.done -= request.done
+            held.failed -= request.failed
             held.worst_ms = 0
             # The tag may have changed while the answer was under way.
             if grant.tag == held.tag:
@@ -292,7 +289,7 @@
         self._admit_waiters(held, now_ms)
         if grant is None:
             self._refuse_waiters(
-                held, now_ms, "no owner grants permits of the upstream"
+                held, "no owner grants permits of the upstream"
             )
             # The next periodic step asks again, not this one.
             held.urgent = False
@@ -320,9 +317,7 @@
             if deadline_ms <= now_ms:
                 waiter.set_result(_refusal("no permit came in time", 100))
 
-    def _refuse_waiters(
-        self, held: holding.Held, now_ms: int, message: str
-    ) -> None:
+    def _refuse_waiters(self, held: holding.Held, message: str) -> None:
         while held.waiters:
             _, waiter = held.waiters.popleft()
             if not waiter.done():
@@ -353,19 +348,9 @@
                     peer.start_id,
                     sequence,
                     service,
-                    asks.decode_asks(data),
+                    messages.decode_requests(data),
                 )
-                for id, grant in answer.items():
-                    result[id] = (
-                        None
-                        if grant is None
-                        else [
-                            grant.count,
-                            grant.tag,
-                            grant.cold,
-                            grant.contended,
-                        ]
-                    )
+                result.update(messages.encode_grants(answer))
             return result
         except (TypeError, ValueError, AttributeError) as error:
             raise interfaces.PeerError("malformed permit message") from error
--- a/tests/process/permits/test_grants.py
+++ b/tests/process/permits/test_grants.py
@@ -1,6 +1,6 @@
 """Tests that owners together grant no more than the limit."""
 
-from oleanderbay.process.permits import asks
+from oleanderbay.process.permits import messages, ownership
 from oleanderbay.request import outcome
 from tests.process.permits import world as worlds
 
@@ -10,7 +10,7 @@
     result = await world.ask("s0")
     assert isinstance(result, outcome.Refusal)
     assert result.outcome is outcome.Outcome.NOT_RUN
-    assert world.clock.now_ms() < asks.PermitSettings().hold_ms
+    assert world.clock.now_ms() < ownership.PermitSettings().hold_ms
     await world.settle()
     tasks = [
         world.cluster.spawn(world.send(id, "g0"))
@@ -67,7 +67,7 @@
     await world.settle()
     node = world.cluster.nodes[worlds.owner(world)]
     granting = world.permits[node.me.start_id].grants
-    line = asks.Ask("g0", asks.start_tag("g0-1"), 1, 0)
+    line = messages.PermitRequest("g0", messages.start_tag("g0-1"), 1, 0)
     assert granting.handle("x", 1, "s", [line])["g0"] is not None
     for _ in range(60):
         await world.clock.advance(500)
--- a/tests/process/permits/world.py
+++ b/tests/process/permits/world.py
@@ -2,7 +2,7 @@
 
 from bench import fakes_requests as fakes
 from oleanderbay.process import clock as clocks
-from oleanderbay.process.permits import asks, permits
+from oleanderbay.process.permits import ownership, permits
 from oleanderbay.request import outcome
 
 REPORT_MS = 500
@@ -79,7 +79,7 @@
 
 def owner(world, upstream="g0"):
     live = world.cluster.nodes["s0"].live()
-    return asks.owner_of(upstream, live).start_id
+    return ownership.owner_of(upstream, live).start_id
 
 
 def others(world):
