Take engine connections and the choice of readers out of reports

observation.reports polled members, exchanged judgements, kept the connections to engines and cached who reads an upstream; serving imported it only for the connections.

observation.engines now owns the connections and readers.Readers the choice.

--- a/oleanderbay/process/groups/driver.py
+++ b/oleanderbay/process/groups/driver.py
@@ -9,7 +9,13 @@
 from oleanderbay.process import interfaces
 from oleanderbay.process.groups import cachemove, fleet, proposer, rolls
 from oleanderbay.process.membership import rendezvous
-from oleanderbay.process.observation import inventory, members, readers, reports
+from oleanderbay.process.observation import (
+    engines,
+    inventory,
+    members,
+    readers,
+    reports,
+)
 from oleanderbay.version import records, resources
 
 STEP_INTERVAL_MS = 500
@@ -44,7 +50,7 @@
         listing: inventory.Inventory,
         reports_service: reports.Reports,
         appender: interfaces.LogAppender,
-        engine_at: reports.EngineAt,
+        engine_at: engines.EngineAt,
         confirmation_age_ms: Callable[[], int | None],
         clock: clocks.Clock,
         prefill_block_ms: float = DEFAULT_PREFILL_BLOCK_MS,
@@ -305,8 +311,8 @@
                     source, into, self._prefill_block_ms, self._clock
                 )
             finally:
-                await reports.close_engine(source)
-                await reports.close_engine(into)
+                await engines.close_engine(source)
+                await engines.close_engine(into)
             self.log.info(
                 "moved %d cache blocks (%d bytes) of %s to %s: %s",
                 moved.blocks,
--- a/oleanderbay/process/groups/orders.py
+++ b/oleanderbay/process/groups/orders.py
@@ -91,7 +91,7 @@
     def _is_my_turn(self, group: resources.ServingGroup, now_ms: int) -> bool:
         names = inventory.zone_ids(self._catalogue.current)
         zone = next((n for n, id in names.items() if id == group.zone), "")
-        chosen = self._reports.readers_of(group.id, zone or group.zone)
+        chosen = self._reports.readers.of(group.id, zone or group.zone)
         me = self._membership.me.start_id
         rank = chosen.index(me) if me in chosen else len(chosen)
         waited_ms = now_ms - self._seen[group.id, group.epoch]
@@ -129,7 +129,7 @@
 
     async def _give(self, group: resources.ServingGroup, rank: int) -> None:
         id = group.members[rank]
-        engine = self._reports.engine(id)
+        engine = self._reports.engines.get(id)
         if engine is None:
             return
         member = self._reports.members.get(id)
--- a/oleanderbay/process/groups/service.py
+++ b/oleanderbay/process/groups/service.py
@@ -10,7 +10,12 @@
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
 from oleanderbay.process.groups import driver, orders, proposer
-from oleanderbay.process.observation import eligibility, inventory, reports
+from oleanderbay.process.observation import (
+    eligibility,
+    engines,
+    inventory,
+    reports,
+)
 from oleanderbay.version import resources
 
 
@@ -37,7 +42,7 @@
         appender: interfaces.LogAppender,
         listing: native.InstanceList,
         store: native.WeightStore | None,
-        engine_at: reports.EngineAt,
+        engine_at: engines.EngineAt,
         confirmation_age_ms: Callable[[], int | None],
         interval_ms: int,
     ) -> None:
--- a/oleanderbay/process/observation/__init__.py
+++ b/oleanderbay/process/observation/__init__.py
@@ -1,7 +1,8 @@
 """What is known of instances, and which upstreams may get new work.
 
 Owns the instance list (`inventory`), which entries read the reports of an
-upstream (`readers`), the reports and their history (`members`), the exchange
-of judgements between readers (`sightings`, `reports`) and the resulting
+upstream (`readers`), the connections to engines (`engines`), the reports and
+their history (`members`), what each reader says of groups (`sightings`),
+polling and the exchange between readers (`reports`), and the resulting
 eligibility (`eligibility`).
 """
--- a/oleanderbay/process/observation/readers.py
+++ b/oleanderbay/process/observation/readers.py
@@ -29,3 +29,28 @@
     near = [entry for entry in staying if entry.zone == platform_zone]
     ids = [entry.start_id for entry in near or staying]
     return rendezvous.ranked(key, ids)[:READERS_PER_UPSTREAM]
+
+
+class Readers:
+    """The readers of each upstream while the live entries stay the same."""
+
+    def __init__(self, membership: interfaces.MembershipView) -> None:
+        self._membership = membership
+        self._entries: tuple[interfaces.Entry, ...] = ()
+        self._chosen: dict[tuple[str, str], list[str]] = {}
+
+    def of(self, key: str, platform_zone: str) -> list[str]:
+        """Returns the entries that read an upstream, the preferred one first.
+
+        The choice is kept until the live entries change: at the design size
+        it would otherwise rank hundreds of thousands of pairs each step.
+        """
+        entries = self._membership.live()
+        if entries != self._entries:
+            self._entries = entries
+            self._chosen.clear()
+        chosen = self._chosen.get((key, platform_zone))
+        if chosen is None:
+            chosen = readers_of(key, platform_zone, entries)
+            self._chosen[key, platform_zone] = chosen
+        return chosen
--- a/oleanderbay/process/observation/reports.py
+++ b/oleanderbay/process/observation/reports.py
@@ -10,6 +10,7 @@
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
 from oleanderbay.process.observation import (
+    engines,
     inventory,
     members,
     readers,
@@ -30,7 +31,6 @@
 # A load figure that moved by less is sent with the next larger change.
 LOAD_STEP = 0.25
 
-EngineAt = Callable[[str], native.ModelEngine]
 Listener = Callable[[], None]
 
 
@@ -40,6 +40,8 @@
     Attributes:
         members: Reports of the instances that this entry reads.
         sightings: What all readers say, this entry included.
+        engines: Connections to the instances that this entry reads.
+        readers: Which entries read an upstream.
     """
 
     def __init__(
@@ -48,26 +50,23 @@
         membership: interfaces.MembershipView,
         peers: interfaces.PeerTransport,
         listing: inventory.Inventory,
-        engine_at: EngineAt,
+        engine_at: engines.EngineAt,
         clock: clocks.Clock,
     ) -> None:
         super().__init__()
         self.members = members.Members()
         self.sightings = sightings.Sightings()
+        self.engines = engines.Engines(listing, engine_at)
+        self.readers = readers.Readers(membership)
         self._catalogue = catalogue
         self._membership = membership
         self._peers = peers
         self._inventory = listing
-        self._engine_at = engine_at
         self._clock = clock
-        self._engines: dict[str, tuple[str, native.ModelEngine]] = {}
         self._sequence = 0
         self._sent: dict[str, members.GroupState] = {}
         self._listeners: list[Listener] = []
         self._doubt_handlers: list[Callable[[str, str], None]] = []
-        # Readers by upstream, for the entries that were live.
-        self._readers: dict[tuple[str, str], list[str]] = {}
-        self._readers_of: tuple[interfaces.Entry, ...] = ()
         # Readers whose updates are being asked for in full.
         self._resyncing: set[str] = set()
         peers.register("reports", self._on_message)
@@ -97,25 +96,7 @@
 
     async def on_stop(self) -> None:
         """Closes the connections to the engines."""
-        for _, engine in self._engines.values():
-            await close_engine(engine)
-        self._engines.clear()
-
-    def readers_of(self, key: str, platform_zone: str) -> list[str]:
-        """Returns the entries that read an upstream, the preferred one first.
-
-        The choice is kept until the live entries change: at the design size
-        it would otherwise rank hundreds of thousands of pairs each step.
-        """
-        entries = self._membership.live()
-        if entries != self._readers_of:
-            self._readers_of = entries
-            self._readers.clear()
-        chosen = self._readers.get((key, platform_zone))
-        if chosen is None:
-            chosen = readers.readers_of(key, platform_zone, entries)
-            self._readers[key, platform_zone] = chosen
-        return chosen
+        await self.engines.close()
 
     def my_groups(self) -> list[resources.ServingGroup]:
         """Returns the groups that this entry reads."""
@@ -129,7 +110,7 @@
             for group in view.all("serving_group")
             if isinstance(group, resources.ServingGroup)
             and me
-            in self.readers_of(
+            in self.readers.of(
                 group.id, platform_names.get(group.zone, group.zone)
             )
         ]
@@ -142,39 +123,23 @@
             line.id
             for line in self._inventory.engines()
             if view.group_of(line.id) is None
-            and me in self.readers_of(line.id, line.zone)
+            and me in self.readers.of(line.id, line.zone)
         ]
 
-    def engine(self, instance: str) -> native.ModelEngine | None:
-        """Returns the control side of an instance that is listed."""
-        line = self._inventory.instances.get(instance)
-        if line is None:
-            known = self._engines.get(instance)
-            return known[1] if known else None
-        known = self._engines.get(instance)
-        if known is None or known[0] != line.address:
-            known = (line.address, self._engine_at(line.address))
-            self._engines[instance] = known
-        return known[1]
-
     async def step(self) -> None:
         """Polls everything once and publishes what changed."""
         groups = self.my_groups()
         idle = self._my_idle()
         wanted = [m for group in groups for m in group.members] + idle
         self.members.keep(wanted)
-        await self._drop_engines(set(wanted))
+        await self.engines.keep(wanted)
         limit = asyncio.Semaphore(MAX_CONCURRENT_POLLS)
         await asyncio.gather(*(self._poll(id, limit) for id in wanted))
         self.publish(groups, idle)
 
-    async def _drop_engines(self, wanted: set[str]) -> None:
-        for id in [id for id in self._engines if id not in wanted]:
-            await close_engine(self._engines.pop(id)[1])
-
     async def _poll(self, instance: str, limit: asyncio.Semaphore) -> None:
         async with limit:
-            engine = self.engine(instance)
+            engine = self.engines.get(instance)
             if engine is None:
                 return
             try:
@@ -297,13 +262,6 @@
             listener()
 
 
-async def close_engine(engine: native.ModelEngine) -> None:
-    """Closes an engine adapter that holds connections."""
-    close = getattr(engine, "close", None)
-    if close is not None:
-        await close()
-
-
 def _differs(old: members.GroupState | None, new: members.GroupState) -> bool:
     """Whether a judgement has to be sent again."""
     if old is None or (
--- a/oleanderbay/process/serving/cachefeed.py
+++ b/oleanderbay/process/serving/cachefeed.py
@@ -6,7 +6,7 @@
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
-from oleanderbay.process.observation import reports
+from oleanderbay.process.observation import engines
 from oleanderbay.request import prefixes
 from oleanderbay.version import resources
 
@@ -35,7 +35,7 @@
         index: prefixes.PrefixIndex,
         catalogue: interfaces.CatalogueSource,
         eligible: interfaces.EligibleUpstreams,
-        engine_at: reports.EngineAt,
+        engine_at: engines.EngineAt,
         clock: clocks.Clock,
     ) -> None:
         super().__init__()
@@ -151,4 +151,4 @@
     async def _close_engine(self, id: str) -> None:
         engine = self._engines.pop(id, None)
         if engine is not None:
-            await reports.close_engine(engine)
+            await engines.close_engine(engine)
--- a/oleanderbay/process/serving/service.py
+++ b/oleanderbay/process/serving/service.py
@@ -9,7 +9,7 @@
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces, telemetry, watch
 from oleanderbay.process import settings as settings_module
-from oleanderbay.process.observation import reports
+from oleanderbay.process.observation import engines
 from oleanderbay.process.permits import permits
 from oleanderbay.process.serving import addresses, cachefeed, callers
 from oleanderbay.request import (
@@ -50,7 +50,7 @@
         metrics: telemetry.Telemetry,
         arriving: Callable[[], outcome.Refusal | None],
         sending: Callable[[], outcome.Refusal | None],
-        engine_at: reports.EngineAt,
+        engine_at: engines.EngineAt,
     ) -> None:
         """Makes the request path.
 
