Remove logic of configuration and groups that stood twice

The follower and AppliedVerdicts both waited for the verdict on a record, and only tests used the follower's. The name of the configuration stream stood in four modules. rolls and driver each counted the groups wanted of a service and decided whether a group serves.

AppliedVerdicts stays, in configuration.applied; the stream's name is in version.records; fleet.wanted_groups and Sightings.serves replace the copies.

--- a/oleanderbay/process/configuration/bootstrap.py
+++ b/oleanderbay/process/configuration/bootstrap.py
@@ -7,9 +7,8 @@
 
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import interfaces
-from oleanderbay.process.configuration import follower
 from oleanderbay.process.membership import membership
-from oleanderbay.version import catalogue, checkpoint
+from oleanderbay.version import catalogue, checkpoint, records
 
 PAGE_RECORDS = 512
 READ_TIMEOUT_MS = 1_500
@@ -185,7 +184,7 @@
 
     async def _read(self, start: int, limit: int) -> native.LogPage:
         return await self._log_service.read(
-            follower.STREAM, start, limit, 0, READ_TIMEOUT_MS
+            records.STREAM, start, limit, 0, READ_TIMEOUT_MS
         )
 
 
--- a/oleanderbay/process/configuration/checkpoints.py
+++ b/oleanderbay/process/configuration/checkpoints.py
@@ -11,7 +11,7 @@
 from oleanderbay.process.configuration import follower as followers
 from oleanderbay.process.configuration import freshness
 from oleanderbay.process.membership import membership, rendezvous
-from oleanderbay.version import checkpoint, verdicts
+from oleanderbay.version import checkpoint, records, verdicts
 
 APPEND_TIMEOUT_MS = 5_000
 # A start reads back to the last checkpoint, so its distance is bounded even
@@ -84,7 +84,7 @@
         try:
             for data in checkpoint.dump(state, self._members.me.start_id):
                 await self._appender.append(
-                    followers.STREAM, data, use, APPEND_TIMEOUT_MS
+                    records.STREAM, data, use, APPEND_TIMEOUT_MS
                 )
         except native.PlatformError as error:
             self._log.warning("checkpoint not written", error=str(error))
--- a/oleanderbay/process/configuration/follower.py
+++ b/oleanderbay/process/configuration/follower.py
@@ -15,8 +15,8 @@
 from oleanderbay.process.configuration import divergence, freshness
 from oleanderbay.process.membership import membership, neighbours
 from oleanderbay.version import apply, catalogue, verdicts
+from oleanderbay.version import records as records_module
 
-STREAM = "config"
 # Records applied without a break. One takes about 0.12 ms, and streams that
 # the same process relays must not wait for a whole page.
 SLICE_RECORDS = 16
@@ -95,9 +95,6 @@
         self._divergence = divergence.DivergenceCheck()
         self._callbacks: list[Callable[[interfaces.CatalogueView], None]] = []
         self._record_callbacks: list[RecordCallback] = []
-        self._verdict_waiters: dict[
-            str, set[asyncio.Future[verdicts.Verdict]]
-        ] = {}
         # Woken when this entry or a peer has moved forward.
         self._progress: set[asyncio.Future[None]] = set()
         self._log = structlog.get_logger("follower")
@@ -132,10 +129,6 @@
         self._recent.clear()
         self._recent_bytes = 0
         self._after(state.offset)
-        for record_id in list(self._verdict_waiters):
-            verdict = state.verdict(record_id)
-            if verdict is not None:
-                self._resolve(verdict)
         self.accept(())
         return True
 
@@ -230,29 +223,6 @@
         count += self._members.counts(self._members.me)
         return 2 * count > self._members.known_count()
 
-    async def wait_verdict(
-        self, record_id: str, timeout_ms: int
-    ) -> verdicts.Verdict:
-        """Returns what became of a record once it is applied.
-
-        Raises:
-            TimeoutError: It was not applied in time.
-        """
-        verdict = self._current.verdict(record_id)
-        if verdict is not None:
-            return verdict
-        waiter: asyncio.Future[verdicts.Verdict] = (
-            asyncio.get_running_loop().create_future()
-        )
-        waiters = self._verdict_waiters.setdefault(record_id, set())
-        waiters.add(waiter)
-        try:
-            return await deadline.within(self._clock, waiter, timeout_ms)
-        finally:
-            waiters.discard(waiter)
-            if not waiters and self._verdict_waiters.get(record_id) is waiters:
-                del self._verdict_waiters[record_id]
-
     @mode.Service.task
     async def _follow(self) -> None:
         backoff_ms = self.limits.first_backoff_ms
@@ -286,7 +256,7 @@
         wait_ms = 0 if self._slow or first else self.limits.wait_ms
         try:
             page = await self._log_service.read(
-                STREAM,
+                records_module.STREAM,
                 start,
                 self.limits.page_records,
                 wait_ms,
@@ -333,7 +303,6 @@
         self._after(record.offset)
         for callback in self._record_callbacks:
             callback(record, verdict)
-        self._resolve(verdict)
 
     def _after(self, offset: int) -> None:
         self._divergence.note_mine(offset, self._current.digest)
@@ -347,11 +316,6 @@
                 self._log.exception("change callback failed", offset=offset)
         self._wake()
 
-    def _resolve(self, verdict: verdicts.Verdict) -> None:
-        for waiter in self._verdict_waiters.pop(verdict.id, ()):
-            if not waiter.done():
-                waiter.set_result(verdict)
-
     def _check_divergence(self) -> None:
         diverged = self._divergence.diverged_at is not None
         if diverged != self._lease.diverged:
--- a/oleanderbay/process/configuration/replication.py
+++ b/oleanderbay/process/configuration/replication.py
@@ -19,6 +19,7 @@
     relay,
 )
 from oleanderbay.process.membership import heartbeats, membership, peers
+from oleanderbay.version import records
 
 FIRST_RETRY_MS = 100
 LAST_RETRY_MS = 2_000
@@ -203,5 +204,5 @@
             self.budget.set_others(self.members.known_count(), others)
 
     def _note_change(self, view: interfaces.CatalogueView) -> None:
-        self.appender.note_end(follower.STREAM, view.offset + 1)
+        self.appender.note_end(records.STREAM, view.offset + 1)
         self.heartbeats.beat_soon()
--- a/oleanderbay/process/configuration/submission.py
+++ b/oleanderbay/process/configuration/submission.py
@@ -1,15 +1,15 @@
-"""The way of one proposal: append, read back, in force at a majority."""
+"""Submits one proposal and follows it until a majority has applied it."""
 
-import asyncio
 import dataclasses
 import enum
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Sequence
 from typing import Protocol
 
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
-from oleanderbay.version import catalogue, records, verdicts
+from oleanderbay.process.configuration import applied
+from oleanderbay.version import records, verdicts
 
 DEFAULT_TIMEOUT_MS = 10_000
 MAX_TIMEOUT_MS = 60_000
@@ -23,23 +23,6 @@
 # Used when the log is unavailable and no other time is stated.
 RETRY_AFTER_MS = 1_000
 
-STREAM = "config"
-
-
-class CatalogueSource(Protocol):
-    """Where the whole catalogue in force comes from."""
-
-    @property
-    def current(self) -> catalogue.Catalogue:
-        """The catalogue in force."""
-        ...
-
-    def on_change(
-        self, callback: Callable[[interfaces.CatalogueView], None]
-    ) -> None:
-        """Calls back after each new offset was applied."""
-        ...
-
 
 class VerdictSource(Protocol):
     """Tells what became of a record once this entry has applied it."""
@@ -120,68 +103,13 @@
     entries_known: int = 0
 
 
-class AppliedVerdicts:
-    """Verdicts read from the catalogue that a source has in force."""
-
-    def __init__(self, source: CatalogueSource, clock: clocks.Clock) -> None:
-        self.source = source
-        self.clock = clock
-        self.waiters: dict[str, list[asyncio.Future[verdicts.Verdict]]] = {}
-        self.seen = source.current.offset
-        source.on_change(self._changed)
-
-    async def wait_verdict(
-        self, record_id: str, timeout_ms: int
-    ) -> verdicts.Verdict | None:
-        """Returns the verdict; None if there is none in time."""
-        verdict = self.source.current.verdict(record_id)
-        if verdict is not None or timeout_ms <= 0:
-            return verdict
-        waiter: asyncio.Future[verdicts.Verdict] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self.waiters.setdefault(record_id, []).append(waiter)
-        timer = asyncio.ensure_future(self.clock.sleep_ms(timeout_ms))
-        try:
-            await asyncio.wait(
-                (waiter, timer), return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            timer.cancel()
-            await asyncio.gather(timer, return_exceptions=True)
-            rest = self.waiters[record_id]
-            rest.remove(waiter)
-            if not rest:
-                del self.waiters[record_id]
-        return waiter.result() if waiter.done() else None
-
-    def _changed(self, view: interfaces.CatalogueView) -> None:
-        current = self.source.current
-        ids: Iterable[str | None] = tuple(self.waiters)
-        if current.offset - self.seen < len(self.waiters):
-            # In a burst many calls wait; only new records can end a wait.
-            ids = (
-                current.applied_order.get(offset)
-                for offset in range(self.seen + 1, current.offset + 1)
-            )
-        self.seen = current.offset
-        for record_id in ids:
-            waiters = self.waiters.get(record_id or "")
-            verdict = current.verdict(record_id) if record_id else None
-            if verdict is None or waiters is None:
-                continue
-            for waiter in waiters:
-                if not waiter.done():
-                    waiter.set_result(verdict)
-
-
 class Submission:
     """Submits proposals and finds out what became of them."""
 
     def __init__(
         self,
         *,
-        source: CatalogueSource,
+        source: applied.WholeCatalogueSource,
         appender: interfaces.LogAppender,
         verdict_source: VerdictSource,
         versions: EntryVersions,
@@ -276,7 +204,7 @@
             wait_ms = min(left_ms, READ_BACK_MS)
             try:
                 await self.appender.append(
-                    STREAM, data, use, min(left_ms, ATTEMPT_TIMEOUT_MS)
+                    records.STREAM, data, use, min(left_ms, ATTEMPT_TIMEOUT_MS)
                 )
                 may_be_appended = True
                 wait_ms = deadline_ms - self.clock.now_ms()
--- a/oleanderbay/process/entry.py
+++ b/oleanderbay/process/entry.py
@@ -18,7 +18,12 @@
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces, telemetry
 from oleanderbay.process import settings as settings_module
-from oleanderbay.process.configuration import replication, submission, versions
+from oleanderbay.process.configuration import (
+    applied,
+    replication,
+    submission,
+    versions,
+)
 from oleanderbay.process.groups import service as groups
 from oleanderbay.process.operators import (
     admin,
@@ -142,7 +147,7 @@
                 submission.Submission(
                     source=source,
                     appender=self.replication.appender,
-                    verdict_source=submission.AppliedVerdicts(source, clock),
+                    verdict_source=applied.AppliedVerdicts(source, clock),
                     versions=versions.Versions(self.replication),
                     clock=clock,
                     author=self.me.start_id,
--- a/oleanderbay/process/groups/driver.py
+++ b/oleanderbay/process/groups/driver.py
@@ -12,7 +12,6 @@
 from oleanderbay.process.observation import (
     engines,
     inventory,
-    members,
     readers,
     reports,
 )
@@ -171,10 +170,7 @@
         return [group for group in live if out.holds(group)]
 
     def _serving(self, group: resources.ServingGroup) -> bool:
-        states = self._reports.sightings.states(
-            group.id, group.epoch, self._clock.now_ms()
-        )
-        return any(state.status is members.Status.OK for state in states)
+        return self._reports.sightings.serves(group, self._clock.now_ms())
 
     def _prepare(
         self, change: resources.PlannedChange, waited_ms: int
@@ -256,12 +252,7 @@
         mine = [g for g in fleet.groups(view) if g.service == service.id]
         old = [g for g in mine if not rolls.is_current(g, service)]
         waiting = sum(not self._serving(g) for g in mine)
-        wanted = sum(
-            request.groups
-            for request in view.all("group_request")
-            if isinstance(request, resources.GroupRequest)
-            and request.service == service.id
-        )
+        wanted = fleet.wanted_groups(view, service.id)
         now_ms = self._clock.now_ms()
         if old:
             self._replaced_ms.pop(change.id, None)
@@ -354,7 +345,7 @@
             self._records[key] = (body, data)
         try:
             await self._appender.append(
-                "config", data, "stage", APPEND_TIMEOUT_MS
+                records.STREAM, data, "stage", APPEND_TIMEOUT_MS
             )
         except native.PlatformError as error:
             self.log.warning(
--- a/oleanderbay/process/groups/fleet.py
+++ b/oleanderbay/process/groups/fleet.py
@@ -64,6 +64,16 @@
     )
 
 
+def wanted_groups(view: interfaces.CatalogueView, service: str) -> int:
+    """Returns how many groups of a service are requested."""
+    return sum(
+        request.groups
+        for request in view.all("group_request")
+        if isinstance(request, resources.GroupRequest)
+        and request.service == service
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outgoing:
     """Zones and instances that get no new groups.
--- a/oleanderbay/process/groups/proposer.py
+++ b/oleanderbay/process/groups/proposer.py
@@ -295,7 +295,7 @@
         now_ms = self._clock.now_ms()
         try:
             offset = await self._appender.append(
-                "config", data, "group", APPEND_TIMEOUT_MS
+                records.STREAM, data, "group", APPEND_TIMEOUT_MS
             )
         except native.PlatformUnavailableError as error:
             self.log.warning("%s not proposed: %s", body.KIND, error)
--- a/oleanderbay/process/groups/rolls.py
+++ b/oleanderbay/process/groups/rolls.py
@@ -4,7 +4,7 @@
 
 from oleanderbay.process import interfaces
 from oleanderbay.process.groups import fleet
-from oleanderbay.process.observation import members, sightings
+from oleanderbay.process.observation import sightings
 from oleanderbay.version import resources
 
 
@@ -56,13 +56,8 @@
         mine = [group for group in live if group.service == id]
         old = [group for group in mine if not is_current(group, service)]
         new = [group for group in mine if is_current(group, service)]
-        serving = {group.id for group in mine if _serves(group, seen, now_ms)}
-        wanted = sum(
-            request.groups
-            for request in view.all("group_request")
-            if isinstance(request, resources.GroupRequest)
-            and request.service == id
-        )
+        serving = {group.id for group in mine if seen.serves(group, now_ms)}
+        wanted = fleet.wanted_groups(view, id)
         if not old:
             continue
         # Broken groups go first: nothing is lost by stopping them.
@@ -84,12 +79,3 @@
         elif len(serving - {first.id}) > 0 or change.force:
             stopped[first.id] = f"{change.id}: no room for a group beside it"
     return Step(frozenset(replaced), stopped)
-
-
-def _serves(
-    group: resources.ServingGroup, seen: sightings.Sightings, now_ms: int
-) -> bool:
-    return any(
-        state.status is members.Status.OK
-        for state in seen.states(group.id, group.epoch, now_ms)
-    )
--- a/oleanderbay/process/groups/service.py
+++ b/oleanderbay/process/groups/service.py
@@ -9,14 +9,13 @@
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
-from oleanderbay.process.groups import driver, orders, proposer
+from oleanderbay.process.groups import driver, fleet, orders, proposer
 from oleanderbay.process.observation import (
     eligibility,
     engines,
     inventory,
     reports,
 )
-from oleanderbay.version import resources
 
 
 class Groups(mode.Service):  # type: ignore[misc]
@@ -108,12 +107,10 @@
     def status(self) -> dict[str, Any]:
         """Returns what can't be formed, served or advanced, and why."""
         view = self.catalogue.current
-        groups = [
-            group
-            for group in view.all("serving_group")
-            if isinstance(group, resources.ServingGroup)
-        ]
-        reasons = {group.id: self.eligible.why_not(group) for group in groups}
+        reasons = {
+            group.id: self.eligible.why_not(group)
+            for group in fleet.groups(view)
+        }
         return {
             "offset": view.offset,
             "pending_groups": [
--- a/oleanderbay/process/observation/sightings.py
+++ b/oleanderbay/process/observation/sightings.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from oleanderbay.process.observation import members
+from oleanderbay.version import resources
 
 # What a reader says is dropped when it was not renewed for so long.
 SIGHTING_MAX_AGE_MS = members.REPORT_MAX_AGE_MS
@@ -131,6 +132,13 @@
             )
         ]
 
+    def serves(self, group: resources.ServingGroup, now_ms: int) -> bool:
+        """Whether any reader says that a group is complete and healthy."""
+        return any(
+            state.status is members.Status.OK
+            for state in self.states(group.id, group.epoch, now_ms)
+        )
+
     def idle_state(self, instance: str, now_ms: int) -> str:
         """Returns `idle`, `busy`, `silent`, or `unknown` if nobody reads it."""
         found = {
--- a/oleanderbay/process/operators/watches.py
+++ b/oleanderbay/process/operators/watches.py
@@ -7,7 +7,7 @@
 
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
-from oleanderbay.process.configuration import submission
+from oleanderbay.process.configuration import applied
 from oleanderbay.version import resources
 
 MAX_WATCHES = 64
@@ -49,7 +49,7 @@
     """All watches of one entry."""
 
     def __init__(
-        self, source: submission.CatalogueSource, clock: clocks.Clock
+        self, source: applied.WholeCatalogueSource, clock: clocks.Clock
     ) -> None:
         self.source = source
         self.clock = clock
--- a/oleanderbay/version/records.py
+++ b/oleanderbay/version/records.py
@@ -10,6 +10,7 @@
 
 from oleanderbay.version import fields, resources
 
+STREAM = "config"
 SCHEMA_VERSION = 1
 
 # A record that is larger is malformed. It bounds what one append can make
--- a/tests/process/configuration/test_replication.py
+++ b/tests/process/configuration/test_replication.py
@@ -7,7 +7,6 @@
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import interfaces
 from oleanderbay.process.membership import neighbours
-from oleanderbay.version import records
 from tests.process.configuration import cluster
 
 FRESH = interfaces.Freshness.FRESH
@@ -299,23 +298,6 @@
         assert members.view_confirmations(2_000) == 3
 
 
-async def test_verdict_of_an_own_record_can_be_awaited():
-    """A proposer learns the result by reading its own record back."""
-    async with cluster.Cluster(3) as entries:
-        follower = entries[0].replica.follower
-        data = cluster.fleet_record()
-        entries.log.append_now("config", data)
-        record_id = records.decode(data).id
-        verdict = await entries.while_running(
-            follower.wait_verdict(record_id, 5_000)
-        )
-        assert verdict.accepted
-        again = await follower.wait_verdict(record_id, 5_000)
-        assert again.accepted
-        with pytest.raises(TimeoutError):
-            await entries.while_running(follower.wait_verdict("00", 500))
-
-
 async def test_long_pages_let_other_tasks_run():
     """Streams must not wait while an entry applies hundreds of records."""
     async with cluster.Cluster(1) as entries:
--- a/tests/process/configuration/test_submission.py
+++ b/tests/process/configuration/test_submission.py
@@ -6,7 +6,7 @@
 
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock
-from oleanderbay.process.configuration import submission
+from oleanderbay.process.configuration import applied, submission
 from oleanderbay.version import records
 from tests.version import samples
 
@@ -41,7 +41,7 @@
         self.submissions = submission.Submission(
             source=self,
             appender=self,
-            verdict_source=submission.AppliedVerdicts(self, source),
+            verdict_source=applied.AppliedVerdicts(self, source),
             versions=self,
             clock=source,
             author="a",
