Separate the instance list from heartbeats

membership.heartbeats also read the instance list and announced this entry there, which have other periods and other failures.

membership.listing now does both; it announces the state that the membership shows instead of being passed one.

--- a/oleanderbay/process/configuration/replication.py
+++ b/oleanderbay/process/configuration/replication.py
@@ -18,7 +18,12 @@
     freshness,
     relay,
 )
-from oleanderbay.process.membership import heartbeats, membership, peers
+from oleanderbay.process.membership import (
+    heartbeats,
+    listing,
+    membership,
+    peers,
+)
 from oleanderbay.version import records
 
 FIRST_RETRY_MS = 100
@@ -126,9 +131,17 @@
             rng,
             self.status,
             links=self.links,
-            instance_list=instance_list,
             full_mesh=settings.full_mesh_entries,
         )
+        self.listing: listing.Listing | None = None
+        if instance_list is not None:
+            self.listing = listing.Listing(
+                self.members,
+                instance_list,
+                clock,
+                rng,
+                self.heartbeats.update_targets,
+            )
         self.relay = relay.Relay(
             self.follower, transport, self.members, self.loader, clock, rng
         )
@@ -165,6 +178,8 @@
                 self.settings, listen_address=self.links.listen_address
             )
         await self.add_runtime_dependency(self.heartbeats)
+        if self.listing is not None:
+            await self.add_runtime_dependency(self.listing)
         await self.add_runtime_dependency(self.relay)
 
     async def on_stop(self) -> None:
@@ -173,7 +188,9 @@
 
     async def leave(self) -> None:
         """Announces that this entry leaves; it goes on following the log."""
-        await self.heartbeats.leave()
+        self.heartbeats.leave()
+        if self.listing is not None:
+            await self.listing.announce()
 
     @mode.Service.task
     async def _bootstrap(self) -> None:
--- a/oleanderbay/process/membership/heartbeats.py
+++ b/oleanderbay/process/membership/heartbeats.py
@@ -1,4 +1,4 @@
-"""Heartbeats to peers, and the instance list."""
+"""Heartbeats to peers, and the links that carry them."""
 
 import asyncio
 import random
@@ -8,7 +8,6 @@
 import mode
 import structlog
 
-from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
 from oleanderbay.process.membership import membership, neighbours, peers
@@ -21,9 +20,6 @@
 # tell others, so all know soon, at a cost that does not grow with the square of
 # their number.
 EARLY_PEERS = 6
-LIST_PERIOD_MS = 1_000
-LIST_TIMEOUT_MS = 1_000
-ANNOUNCE_PERIOD_MS = 5_000
 # Heartbeats whose acknowledgement still says something about the present.
 MAX_SENT = 64
 
@@ -47,7 +43,6 @@
         status: Status,
         *,
         links: peers.Peers | None = None,
-        instance_list: native.InstanceList | None = None,
         full_mesh: int = neighbours.FULL_MESH_ENTRIES,
     ) -> None:
         super().__init__()
@@ -57,7 +52,6 @@
         self._rng = rng
         self._status = status
         self._links = links
-        self._list = instance_list
         self._full_mesh = full_mesh
         self._sequence = 0
         self._sent: dict[int, int] = {}
@@ -81,7 +75,7 @@
         if up:
             self._linked[entry.start_id] = entry
             self.members.note_linked(entry)
-            self._update_targets()
+            self.update_targets()
             self.beat((entry.start_id,))
         else:
             self._linked.pop(entry.start_id, None)
@@ -112,16 +106,25 @@
         """Sends a heartbeat before its time, within the lowest period."""
         self._early_wanted.set()
 
-    async def leave(self) -> None:
-        """Announces to peers and to the instance list that this entry leaves.
-
-        The announcement to the list may fail; peers then tell each other.
-        """
+    def leave(self) -> None:
+        """Announces to peers that this entry leaves."""
         self.members.start_leaving()
         if self._links is not None:
             self._links.me = self.members.me
         self.beat_all()
-        await self._announce(native.InstanceState.LEAVING)
+
+    def update_targets(self) -> None:
+        """Keeps links with the neighbours among the known entries."""
+        if self._links is None:
+            return
+        chosen = neighbours.choose(
+            self.members.me.id, self.members.known_zones(), self._full_mesh
+        )
+        self._links.set_targets(
+            (id, address)
+            for id, address in self.members.known_addresses().items()
+            if id in chosen
+        )
 
     def early_peers(self) -> tuple[str, ...]:
         """Returns the peers that are told of a new offset at once.
@@ -162,50 +165,6 @@
             self.beat(self.early_peers())
             await self._clock.sleep_ms(EARLIEST_MS)
 
-    @mode.Service.task
-    async def _follow_list(self) -> None:
-        announced_ms = -ANNOUNCE_PERIOD_MS
-        while self._list is not None and not self.should_stop:
-            now_ms = self._clock.now_ms()
-            if now_ms - announced_ms >= ANNOUNCE_PERIOD_MS:
-                state = native.InstanceState.LIVE
-                if self.members.me.leaving:
-                    state = native.InstanceState.LEAVING
-                if await self._announce(state):
-                    announced_ms = now_ms
-            try:
-                lines = await self._list.instances(LIST_TIMEOUT_MS)
-            except native.PlatformError as error:
-                self._log.warning("instance list failed", error=str(error))
-            else:
-                self.members.note_list(lines)
-                self._update_targets()
-            await self._clock.sleep_ms(
-                LIST_PERIOD_MS * self._rng.uniform(0.9, 1.1)
-            )
-
-    async def _announce(self, state: native.InstanceState) -> bool:
-        if self._list is None:
-            return False
-        me = self.members.me
-        try:
-            await self._list.announce(
-                native.Instance(
-                    id=me.id,
-                    role="entry",
-                    address=me.caller_address,
-                    zone=me.zone,
-                    state=state,
-                    accelerators=0,
-                    peer_address=me.peer_address,
-                ),
-                LIST_TIMEOUT_MS,
-            )
-        except native.PlatformError as error:
-            self._log.warning("announcement failed", error=str(error))
-            return False
-        return True
-
     async def _receive(self, entry: interfaces.Entry, body: Any) -> None:
         sequence, echo, heartbeat = decode(body)
         first = entry.start_id not in self._seen
@@ -226,18 +185,6 @@
         ):
             self.beat((entry.start_id,))
 
-    def _update_targets(self) -> None:
-        if self._links is None:
-            return
-        chosen = neighbours.choose(
-            self.members.me.id, self.members.known_zones(), self._full_mesh
-        )
-        self._links.set_targets(
-            (id, address)
-            for id, address in self.members.known_addresses().items()
-            if id in chosen
-        )
-
 
 def encode(
     sequence: int, echo: int, heartbeat: membership.Heartbeat
