Name suspected failures in usual terms and give them a module

Eligibility kept the lists of upstreams and, as doubts, how long a suspected upstream gets no new work.

The message between entries keeps its key.

--- a/bench/fakes_requests.py
+++ b/bench/fakes_requests.py
@@ -184,7 +184,7 @@
         self.list: dict[str, interfaces.Upstream] = {}
         self.loads: dict[str, interfaces.UpstreamLoad] = {}
         self.callbacks: list[Callable[[str], None]] = []
-        self.doubted: list[str] = []
+        self.suspected: list[str] = []
 
     def upstreams(self, service: str) -> tuple[interfaces.Upstream, ...]:
         return tuple(u for u in self.list.values() if u.service == service)
@@ -192,8 +192,8 @@
     def load(self, upstream: str) -> interfaces.UpstreamLoad | None:
         return self.loads.get(upstream)
 
-    def doubt(self, upstream: str, reason: str) -> None:
-        self.doubted.append(upstream)
+    def suspect(self, upstream: str, reason: str) -> None:
+        self.suspected.append(upstream)
 
     def on_change(self, callback: Callable[[str], None]) -> None:
         self.callbacks.append(callback)
--- a/oleanderbay/process/interfaces.py
+++ b/oleanderbay/process/interfaces.py
@@ -215,7 +215,7 @@
         """Newest load of an upstream."""
         ...
 
-    def doubt(self, upstream: str, reason: str) -> None:
+    def suspect(self, upstream: str, reason: str) -> None:
         """Takes an upstream out at once and tells other entries."""
         ...
 
--- a/oleanderbay/process/observation/__init__.py
+++ b/oleanderbay/process/observation/__init__.py
@@ -3,6 +3,6 @@
 Owns the instance list (`inventory`), which entries read the reports of an
 upstream (`readers`), the connections to engines (`engines`), the reports and
 their history (`members`), what each reader says of groups (`sightings`),
-polling and the exchange between readers (`reports`), and the resulting
-eligibility (`eligibility`).
+polling and the exchange between readers (`reports`), suspected failures
+(`suspicions`), and the resulting eligibility (`eligibility`).
 """
--- a/oleanderbay/process/observation/eligibility.py
+++ b/oleanderbay/process/observation/eligibility.py
@@ -1,11 +1,15 @@
 """Upstreams that may get new work; implements `EligibleUpstreams`."""
 
-import dataclasses
 from collections.abc import Callable, Iterator
 
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
-from oleanderbay.process.observation import inventory, members, reports
+from oleanderbay.process.observation import (
+    inventory,
+    members,
+    reports,
+    suspicions,
+)
 from oleanderbay.version import resources
 
 # How long a list of eligible upstreams may be used before it is rebuilt; an
@@ -17,15 +21,8 @@
 REBUILD_INTERVAL_MS = 100
 
 
-@dataclasses.dataclass(slots=True)
-class _Doubt:
-    since_ms: int
-    hold_ms: int
-    reason: str
-
-
 class Eligibility:
-    """Combines the catalogue, all readers' words, and suspected failures."""
+    """Combines the catalogue, what all readers say, and suspected failures."""
 
     def __init__(
         self,
@@ -38,14 +35,14 @@
         self._inventory = listing
         self._reports = reports_service
         self._clock = clock
-        self._doubts: dict[str, _Doubt] = {}
+        self._suspicions = suspicions.Suspicions()
         self._lists: dict[str, tuple[interfaces.Upstream, ...]] = {}
         self._built_ms: int | None = None
         self._has_news = False
         self._listeners: list[Callable[[str], None]] = []
         catalogue.on_change(lambda _: self.rebuild())
         reports_service.on_change(self._on_reports)
-        reports_service.on_doubt(self._take_out)
+        reports_service.on_suspicion(self._take_out)
 
     def upstreams(self, service: str) -> tuple[interfaces.Upstream, ...]:
         """Eligible upstreams of a service, in any order."""
@@ -78,10 +75,10 @@
             cache_sequence=state.cache_sequence,
         )
 
-    def doubt(self, upstream: str, reason: str) -> None:
+    def suspect(self, upstream: str, reason: str) -> None:
         """Takes an upstream out at once and tells other entries."""
         self._take_out(upstream, reason)
-        self._reports.spread_doubt(upstream, reason)
+        self._reports.spread_suspicion(upstream, reason)
 
     def on_change(self, callback: Callable[[str], None]) -> None:
         """Calls back with a service id when its upstreams change."""
@@ -97,9 +94,9 @@
             return "a member is retired"
         if not self._inventory.leaving().isdisjoint(group.members):
             return "a member is leaving"
-        doubt = self._doubts.get(group.id)
-        if doubt is not None and now_ms - doubt.since_ms < doubt.hold_ms:
-            return f"suspected: {doubt.reason}"
+        suspected = self._suspicions.reason(group.id, now_ms)
+        if suspected is not None:
+            return f"suspected: {suspected}"
         states = self._reports.sightings.states(group.id, group.epoch, now_ms)
         if not states:
             return "no reader knows it"
@@ -126,7 +123,7 @@
         """Rebuilds the lists and tells which services changed."""
         self._has_news = False
         self._built_ms = self._clock.now_ms()
-        self._forget_doubts(self._built_ms)
+        self._suspicions.forget_old(self._built_ms)
         lists: dict[str, list[interfaces.Upstream]] = {}
         for upstream in (*self._groups(), *self._plain()):
             lists.setdefault(upstream.service, []).append(upstream)
@@ -181,11 +178,10 @@
             for address in service.upstreams:
                 line = self._inventory.by_address.get(address)
                 zone = zones.get(line.zone, line.zone) if line else ""
-                doubt = self._doubts.get(address)
                 if (
                     zone in drained
                     or (line is not None and line.id in retired)
-                    or (doubt and now_ms - doubt.since_ms < doubt.hold_ms)
+                    or self._suspicions.reason(address, now_ms) is not None
                 ):
                     continue
                 yield interfaces.Upstream(
@@ -198,19 +194,5 @@
                 )
 
     def _take_out(self, upstream: str, reason: str) -> None:
-        now_ms = self._clock.now_ms()
-        doubt = self._doubts.get(upstream)
-        if doubt is None:
-            doubt = _Doubt(now_ms, members.FIRST_HOLD_MS, reason)
-            self._doubts[upstream] = doubt
-        elif now_ms - doubt.since_ms >= doubt.hold_ms:
-            # The hold had ended, so this is a new failure.
-            doubt.since_ms = now_ms
-            doubt.hold_ms = min(2 * doubt.hold_ms, members.MAX_HOLD_MS)
-            doubt.reason = reason
+        self._suspicions.note(upstream, reason, self._clock.now_ms())
         self.rebuild()
-
-    def _forget_doubts(self, now_ms: int) -> None:
-        for id, doubt in list(self._doubts.items()):
-            if now_ms - doubt.since_ms > members.FORGET_FLAPS_MS:
-                del self._doubts[id]
--- a/oleanderbay/process/observation/reports.py
+++ b/oleanderbay/process/observation/reports.py
@@ -31,6 +31,9 @@
 # A load figure that moved by less is sent with the next larger change.
 LOAD_STEP = 0.25
 
+# Key of a message about a suspected failure; such a message is passed on once.
+SUSPECTED = "doubt"
+
 Listener = Callable[[], None]
 
 
@@ -66,7 +69,7 @@
         self._sequence = 0
         self._sent: dict[str, members.GroupState] = {}
         self._listeners: list[Listener] = []
-        self._doubt_handlers: list[Callable[[str, str], None]] = []
+        self._suspicion_handlers: list[Callable[[str, str], None]] = []
         # Readers whose updates are being asked for in full.
         self._resyncing: set[str] = set()
         peers.register("reports", self._on_message)
@@ -75,15 +78,15 @@
         """Calls back after new sightings."""
         self._listeners.append(listener)
 
-    def on_doubt(self, handler: Callable[[str, str], None]) -> None:
+    def on_suspicion(self, handler: Callable[[str, str], None]) -> None:
         """Calls back with upstream and reason when a peer suspects one."""
-        self._doubt_handlers.append(handler)
+        self._suspicion_handlers.append(handler)
 
-    def spread_doubt(self, upstream: str, reason: str) -> None:
+    def spread_suspicion(self, upstream: str, reason: str) -> None:
         """Tells all peers that an upstream is suspected to have failed."""
         self._peers.broadcast(
             "reports",
-            {"doubt": upstream, "reason": reason, "hops": 2},
+            {SUSPECTED: upstream, "reason": reason, "hops": 2},
         )
 
     @mode.Service.task
@@ -211,8 +214,8 @@
             raise interfaces.PeerError("expected a map")
         if "want" in body:
             return self.sightings.full_update(str(body["want"]), now_ms)
-        if "doubt" in body:
-            self._on_doubt(body)
+        if SUSPECTED in body:
+            self._on_suspicion(body)
             return None
         try:
             news = self.sightings.apply_update(body, now_ms)
@@ -248,13 +251,17 @@
         finally:
             self._resyncing.discard(origin)
 
-    def _on_doubt(self, body: Mapping[str, Any]) -> None:
-        upstream, reason = str(body["doubt"]), str(body.get("reason", ""))
+    def _on_suspicion(self, body: Mapping[str, Any]) -> None:
+        upstream, reason = str(body[SUSPECTED]), str(body.get("reason", ""))
         hops = body.get("hops")
-        for handler in self._doubt_handlers:
+        for handler in self._suspicion_handlers:
             handler(upstream, reason)
         if isinstance(hops, int) and 1 < hops <= 2:
-            passed_on = {"doubt": upstream, "reason": reason, "hops": hops - 1}
+            passed_on = {
+                SUSPECTED: upstream,
+                "reason": reason,
+                "hops": hops - 1,
+            }
             self._peers.broadcast("reports", passed_on)
 
     def _tell(self) -> None:
--- a/oleanderbay/request/pipeline.py
+++ b/oleanderbay/request/pipeline.py
@@ -321,7 +321,7 @@
             return
         run.failed.add(upstream.id)
         if failure.unreachable or failure.stalled:
-            self.parts.eligible.doubt(upstream.id, failure.message)
+            self.parts.eligible.suspect(upstream.id, failure.message)
 
     async def _last_words(
         self, run: delivery.Run, sink: delivery.Sink, refusal: outcome.Refusal
--- a/tests/process/observation/test_eligibility.py
+++ b/tests/process/observation/test_eligibility.py
@@ -39,11 +39,11 @@
     assert group.id in world.offered_by_all()
 
 
-async def test_doubt_spreads_and_ends():
+async def test_suspicion_spreads_and_ends():
     """Guards against an entry that keeps a suspicion to itself."""
     world = await worlds.started()
     group = world.groups()[0]
-    world.entries[0].eligible.doubt(group.id, "connection reset")
+    world.entries[0].eligible.suspect(group.id, "connection reset")
     await world.deliver(world.entries[0])
     assert all(group.id not in ids for ids in world.offered().values())
     await world.run(6_000)
--- a/tests/request/test_pipeline.py
+++ b/tests/request/test_pipeline.py
@@ -87,10 +87,10 @@
         _, _, body = await path.call("/v1/completions", json=STREAM)
         assert _text(body) == tokens.answer("p", COUNT)
         # The first silence is taken for a fault of the connection.
-        assert path.eligible.doubted == []
+        assert path.eligible.suspected == []
 
 
-async def test_an_engine_silent_on_a_new_connection_too_is_doubted():
+async def test_an_engine_silent_on_a_new_connection_too_is_suspected():
     """A dead upstream must leave routing after its second silence."""
     async with (
         serving_path.running(
@@ -101,7 +101,7 @@
         engines[0].set_faults({"silent": 9})
         answer = await path.call("/v1/completions", json=STREAM)
         assert answer[0] in (502, 503) and _outcome(answer) == "unknown"
-        assert path.eligible.doubted == [engines[0].address]
+        assert path.eligible.suspected == [engines[0].address]
 
 
 async def test_two_callers_get_their_own_answers():
--- a/tests/serving_path.py
+++ b/tests/serving_path.py
@@ -91,7 +91,7 @@
 
     def __init__(self):
         self.known = {}
-        self.doubted = []
+        self.suspected = []
         self.callbacks = []
 
     def put(self, service, address, number=0):
@@ -112,8 +112,8 @@
     def load(self, upstream):
         return interfaces.UpstreamLoad(cold=False)
 
-    def doubt(self, upstream, reason):
-        self.doubted.append(upstream)
+    def suspect(self, upstream, reason):
+        self.suspected.append(upstream)
 
     def on_change(self, callback):
         self.callbacks.append(callback)
