--- a/oleanderbay/process/replication.py
+++ b/oleanderbay/process/configuration/replication.py
@@ -7,20 +7,24 @@
 import structlog
 
 from oleanderbay.native import interfaces as native
-from oleanderbay.process import (
+from oleanderbay.process import clock as clocks
+from oleanderbay.process import interfaces
+from oleanderbay.process.configuration import (
     appender,
     bootstrap,
     budget,
     checkpoints,
     follower,
     freshness,
+    relay,
+)
+from oleanderbay.process.membership import (
     heartbeats,
-    interfaces,
+    listing,
     membership,
     peers,
-    relay,
 )
-from oleanderbay.process import clock as clocks
+from oleanderbay.version import records
 
 FIRST_RETRY_MS = 100
 LAST_RETRY_MS = 2_000
@@ -127,9 +131,17 @@
             rng,
             self.status,
             links=self.links,
-            instance_list=instance_list,
             full_mesh=settings.full_mesh_entries,
         )
+        self.listing: listing.Listing | None = None
+        if instance_list is not None:
+            self.listing = listing.Listing(
+                self.members,
+                instance_list,
+                clock,
+                rng,
+                self.heartbeats.update_targets,
+            )
         self.relay = relay.Relay(
             self.follower, transport, self.members, self.loader, clock, rng
         )
@@ -166,6 +178,8 @@
                 self.settings, listen_address=self.links.listen_address
             )
         await self.add_runtime_dependency(self.heartbeats)
+        if self.listing is not None:
+            await self.add_runtime_dependency(self.listing)
         await self.add_runtime_dependency(self.relay)
 
     async def on_stop(self) -> None:
@@ -174,7 +188,9 @@
 
     async def leave(self) -> None:
         """Announces that this entry leaves; it goes on following the log."""
-        await self.heartbeats.leave()
+        self.heartbeats.leave()
+        if self.listing is not None:
+            await self.listing.announce()
 
     @mode.Service.task
     async def _bootstrap(self) -> None:
@@ -205,5 +221,5 @@
             self.budget.set_others(self.members.known_count(), others)
 
     def _note_change(self, view: interfaces.CatalogueView) -> None:
-        self.appender.note_end(follower.STREAM, view.offset + 1)
+        self.appender.note_end(records.STREAM, view.offset + 1)
         self.heartbeats.beat_soon()
--- a/oleanderbay/process/driver.py
+++ b/oleanderbay/process/groups/driver.py
@@ -5,19 +5,16 @@
 import mode
 
 from oleanderbay.native import interfaces as native
-from oleanderbay.process import (
-    cachemove,
-    fleet,
-    interfaces,
+from oleanderbay.process import clock as clocks
+from oleanderbay.process import interfaces
+from oleanderbay.process.groups import cachemove, fleet, proposer, rolls
+from oleanderbay.process.membership import rendezvous
+from oleanderbay.process.observation import (
+    engines,
     inventory,
-    members,
-    proposer,
     readers,
-    rendezvous,
     reports,
-    rolls,
 )
-from oleanderbay.process import clock as clocks
 from oleanderbay.version import records, resources
 
 STEP_INTERVAL_MS = 500
@@ -52,7 +49,7 @@
         listing: inventory.Inventory,
         reports_service: reports.Reports,
         appender: interfaces.LogAppender,
-        engine_at: reports.EngineAt,
+        engine_at: engines.EngineAt,
         confirmation_age_ms: Callable[[], int | None],
         clock: clocks.Clock,
         prefill_block_ms: float = DEFAULT_PREFILL_BLOCK_MS,
@@ -173,10 +170,7 @@
         return [group for group in live if out.holds(group)]
 
     def _serving(self, group: resources.ServingGroup) -> bool:
-        states = self._reports.sightings.states(
-            group.id, group.epoch, self._clock.now_ms()
-        )
-        return any(state.status is members.Status.OK for state in states)
+        return self._reports.sightings.serves(group, self._clock.now_ms())
 
     def _prepare(
         self, change: resources.PlannedChange, waited_ms: int
@@ -258,12 +252,7 @@
         mine = [g for g in fleet.groups(view) if g.service == service.id]
         old = [g for g in mine if not rolls.is_current(g, service)]
         waiting = sum(not self._serving(g) for g in mine)
-        wanted = sum(
-            request.groups
-            for request in view.all("group_request")
-            if isinstance(request, resources.GroupRequest)
-            and request.service == service.id
-        )
+        wanted = fleet.wanted_groups(view, service.id)
         now_ms = self._clock.now_ms()
         if old:
             self._replaced_ms.pop(change.id, None)
@@ -313,8 +302,8 @@
                     source, into, self._prefill_block_ms, self._clock
                 )
             finally:
-                await reports.close_engine(source)
-                await reports.close_engine(into)
+                await engines.close_engine(source)
+                await engines.close_engine(into)
             self.log.info(
                 "moved %d cache blocks (%d bytes) of %s to %s: %s",
                 moved.blocks,
@@ -356,7 +345,7 @@
             self._records[key] = (body, data)
         try:
             await self._appender.append(
-                "config", data, "stage", APPEND_TIMEOUT_MS
+                records.STREAM, data, "stage", APPEND_TIMEOUT_MS
             )
         except native.PlatformError as error:
             self.log.warning(
--- a/oleanderbay/process/fleet.py
+++ b/oleanderbay/process/groups/fleet.py
@@ -4,7 +4,8 @@
 from collections.abc import Collection
 
 from oleanderbay.native import interfaces as native
-from oleanderbay.process import interfaces, inventory, members, sightings
+from oleanderbay.process import interfaces
+from oleanderbay.process.observation import inventory, members, sightings
 from oleanderbay.version import resources
 from oleanderbay.version import situation as situations
 
@@ -63,6 +64,16 @@
     )
 
 
+def wanted_groups(view: interfaces.CatalogueView, service: str) -> int:
+    """Returns how many groups of a service are requested."""
+    return sum(
+        request.groups
+        for request in view.all("group_request")
+        if isinstance(request, resources.GroupRequest)
+        and request.service == service
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outgoing:
     """Zones and instances that get no new groups.
--- a/oleanderbay/process/proposer.py
+++ b/oleanderbay/process/groups/proposer.py
@@ -7,14 +7,9 @@
 
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import (
-    fleet,
-    interfaces,
-    inventory,
-    readers,
-    reports,
-    rolls,
-)
+from oleanderbay.process import interfaces
+from oleanderbay.process.groups import fleet, rolls
+from oleanderbay.process.observation import inventory, readers, reports
 from oleanderbay.version import placement, records, resources
 from oleanderbay.version import situation as situations
 
@@ -300,7 +295,7 @@
         now_ms = self._clock.now_ms()
         try:
             offset = await self._appender.append(
-                "config", data, "group", APPEND_TIMEOUT_MS
+                records.STREAM, data, "group", APPEND_TIMEOUT_MS
             )
         except native.PlatformUnavailableError as error:
             self.log.warning("%s not proposed: %s", body.KIND, error)
--- a/oleanderbay/process/groups.py
+++ b/oleanderbay/process/groups/service.py
@@ -8,16 +8,14 @@
 
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import (
-    driver,
+from oleanderbay.process import interfaces
+from oleanderbay.process.groups import driver, fleet, orders, proposer
+from oleanderbay.process.observation import (
     eligibility,
-    interfaces,
+    engines,
     inventory,
-    orders,
-    proposer,
     reports,
 )
-from oleanderbay.version import resources
 
 
 class Groups(mode.Service):  # type: ignore[misc]
@@ -43,7 +41,7 @@
         appender: interfaces.LogAppender,
         listing: native.InstanceList,
         store: native.WeightStore | None,
-        engine_at: reports.EngineAt,
+        engine_at: engines.EngineAt,
         confirmation_age_ms: Callable[[], int | None],
         interval_ms: int,
     ) -> None:
@@ -109,12 +107,10 @@
     def status(self) -> dict[str, Any]:
         """Returns what can't be formed, served or advanced, and why."""
         view = self.catalogue.current
-        groups = [
-            group
-            for group in view.all("serving_group")
-            if isinstance(group, resources.ServingGroup)
-        ]
-        reasons = {group.id: self.eligible.why_not(group) for group in groups}
+        reasons = {
+            group.id: self.eligible.why_not(group)
+            for group in fleet.groups(view)
+        }
         return {
             "offset": view.offset,
             "pending_groups": [
--- a/oleanderbay/process/operators.py
+++ b/oleanderbay/process/operators/servicer.py
@@ -1,4 +1,4 @@
-"""The gRPC listener for operators."""
+"""Answers to operators' calls."""
 
 import contextlib
 import dataclasses
@@ -7,7 +7,8 @@
 
 import grpc
 
-from oleanderbay.process import submission, watches
+from oleanderbay.process.configuration import submission
+from oleanderbay.process.operators import watches
 from oleanderbay.schema import convert, operators_pb2, operators_pb2_grpc
 from oleanderbay.version import (
     changes,
@@ -19,9 +20,6 @@
     verdicts,
 )
 
-# Larger than any change that fits a log record.
-MAX_MESSAGE_BYTES = 4_000_000
-
 MAX_REASON_LENGTH = 1_000
 
 
@@ -230,43 +228,6 @@
         return response
 
 
-class Listener:
-    """Serves operators' calls on one address."""
-
-    def __init__(self, servicer: Servicer, address: str) -> None:
-        self.servicer = servicer
-        self.address = address
-        self.port = 0
-        self.server: Any = None
-
-    async def start(self) -> None:
-        """Binds the address and starts to serve.
-
-        Raises:
-            OSError: The address can't be bound.
-        """
-        self.server = grpc.aio.server(
-            options=(
-                ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
-                ("grpc.so_reuseport", 0),
-            )
-        )
-        operators_pb2_grpc.add_OperatorsServicer_to_server(
-            self.servicer, self.server
-        )
-        try:
-            self.port = self.server.add_insecure_port(self.address)
-        except RuntimeError as error:
-            raise OSError(f"can't bind {self.address}") from error
-        await self.server.start()
-
-    async def close(self, grace_ms: int = 1_000) -> None:
-        """Stops to serve; calls in progress get some time to end."""
-        if self.server is not None:
-            await self.server.stop(grace_ms / 1000)
-            self.server = None
-
-
 async def _check_kind(kind: str, context: Any) -> None:
     if kind not in resources.RESOURCE_KINDS:
         known = ", ".join(resources.RESOURCE_KINDS)
--- a/tests/serving_path.py
+++ b/tests/serving_path.py
@@ -10,7 +10,8 @@
 from oleanderbay.native import engine_http
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
-from oleanderbay.process import interfaces, serving, settings, telemetry
+from oleanderbay.process import interfaces, settings, telemetry
+from oleanderbay.process.serving import service as serving
 from oleanderbay.request import outcome
 from oleanderbay.standins import engine, engine_state, plain
 from oleanderbay.version import catalogue, resources
@@ -90,7 +91,7 @@
 
     def __init__(self):
         self.known = {}
-        self.doubted = []
+        self.suspected = []
         self.callbacks = []
 
     def put(self, service, address, number=0):
@@ -111,8 +112,8 @@
     def load(self, upstream):
         return interfaces.UpstreamLoad(cold=False)
 
-    def doubt(self, upstream, reason):
-        self.doubted.append(upstream)
+    def suspect(self, upstream, reason):
+        self.suspected.append(upstream)
 
     def on_change(self, callback):
         self.callbacks.append(callback)
