--- a/oleanderbay/gateway/settings.py
+++ b/oleanderbay/gateway/settings.py
@@ -2,34 +2,11 @@
 
 import dataclasses
 import pathlib
-from typing import Any
 
-from oleanderbay.process import checker, settings_text
+from oleanderbay.process import checker, sections, settings_text
 
 SettingsError = settings_text.SettingsError
-
-
-def _field(
-    default: Any = dataclasses.MISSING,
-    *,
-    low: float | None = None,
-    high: float | None = None,
-    choices: tuple[str, ...] = (),
-    empty: bool = True,
-    address: bool = False,
-) -> Any:
-    limits = {
-        "low": low,
-        "high": high,
-        "choices": choices,
-        "empty": empty,
-        "address": address,
-    }
-    return dataclasses.field(default=default, metadata=limits)
-
-
-def _ms(default: int, low: int = 1, high: int = 3_600_000) -> Any:
-    return _field(default, low=low, high=high)
+TelemetrySettings = sections.TelemetrySettings
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -42,9 +19,9 @@
         host: IP address that peers reach it at.
     """
 
-    id: str = _field(empty=False)
-    zone: str = _field(empty=False)
-    host: str = _field(empty=False)
+    id: str = sections.setting(empty=False)
+    zone: str = sections.setting(empty=False)
+    host: str = sections.setting(empty=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -59,9 +36,9 @@
         directory_path: Path of the directory's answers.
     """
 
-    callers: str = _field(empty=False, address=True)
-    readiness: str = _field(empty=False, address=True)
-    directory: str = _field("", address=True)
+    callers: str = sections.setting(empty=False, address=True)
+    readiness: str = sections.setting(empty=False, address=True)
+    directory: str = sections.setting("", address=True)
     directory_path: str = "/directory"
 
 
@@ -85,13 +62,13 @@
             heartbeats to all others; above it, zones exchange summaries.
     """
 
-    port: int = _field(low=1, high=65_535)
+    port: int = sections.setting(low=1, high=65_535)
     seeds: tuple[str, ...] = ()
-    heartbeat_ms: int = _ms(200)
-    max_heartbeats_per_s: int = _field(200, low=1, high=100_000)
-    live_ms: int = _ms(1_500)
-    forget_ms: int = _ms(6_000)
-    full_mesh_gateways: int = _field(8, low=1, high=100_000)
+    heartbeat_ms: int = sections.milliseconds(200)
+    max_heartbeats_per_s: int = sections.setting(200, low=1, high=100_000)
+    live_ms: int = sections.milliseconds(1_500)
+    forget_ms: int = sections.milliseconds(6_000)
+    full_mesh_gateways: int = sections.setting(8, low=1, high=100_000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -112,14 +89,14 @@
         join_interval_ms: Time between confirmations of ownership.
     """
 
-    address: str = _field(empty=False, address=True)
-    partitions: int = _field(1, low=1, high=10_000)
-    timeout_ms: int = _ms(500)
-    wait_ms: int = _ms(2_000, low=0)
-    worker_interval_ms: int = _ms(500)
-    reader_silence_ms: int = _ms(800, low=0)
-    ownership_ttl_ms: int = _ms(1_500)
-    join_interval_ms: int = _ms(500)
+    address: str = sections.setting(empty=False, address=True)
+    partitions: int = sections.setting(1, low=1, high=10_000)
+    timeout_ms: int = sections.milliseconds(500)
+    wait_ms: int = sections.milliseconds(2_000, low=0)
+    worker_interval_ms: int = sections.milliseconds(500)
+    reader_silence_ms: int = sections.milliseconds(800, low=0)
+    ownership_ttl_ms: int = sections.milliseconds(1_500)
+    join_interval_ms: int = sections.milliseconds(500)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -142,16 +119,16 @@
         idle_in_all: Idle connections of this gateway.
     """
 
-    connect_timeout_ms: int = _ms(250)
-    order_timeout_ms: int = _ms(600)
-    stall_ms: int = _ms(6_000)
-    heartbeat_ms: int = _ms(1_200)
-    max_answer_bytes: int = _field(8_388_608, low=1_024, high=1 << 30)
-    max_event_bytes: int = _field(262_144, low=256, high=1 << 24)
-    idle_ms: int = _ms(1_000, low=0)
-    idle_margin_ms: int = _ms(500, low=0)
-    idle_per_worker: int = _field(32, low=0, high=100_000)
-    idle_in_all: int = _field(128, low=0, high=100_000)
+    connect_timeout_ms: int = sections.milliseconds(250)
+    order_timeout_ms: int = sections.milliseconds(600)
+    stall_ms: int = sections.milliseconds(6_000)
+    heartbeat_ms: int = sections.milliseconds(1_200)
+    max_answer_bytes: int = sections.setting(8_388_608, low=1_024, high=1 << 30)
+    max_event_bytes: int = sections.setting(262_144, low=256, high=1 << 24)
+    idle_ms: int = sections.milliseconds(1_000, low=0)
+    idle_margin_ms: int = sections.milliseconds(500, low=0)
+    idle_per_worker: int = sections.setting(32, low=0, high=100_000)
+    idle_in_all: int = sections.setting(128, low=0, high=100_000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -165,10 +142,10 @@
         load_window_ms: The window in which loads are counted.
     """
 
-    retry_ratio: float = _field(0.2, low=0.0, high=10.0)
-    retry_extra: int = _field(10, low=0, high=1_000_000)
-    retry_window_ms: int = _ms(10_000)
-    load_window_ms: int = _ms(5_000)
+    retry_ratio: float = sections.setting(0.2, low=0.0, high=10.0)
+    retry_extra: int = sections.setting(10, low=0, high=1_000_000)
+    retry_window_ms: int = sections.milliseconds(10_000)
+    load_window_ms: int = sections.milliseconds(5_000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -181,40 +158,9 @@
         kept_factor: How many times that some callers keep it.
     """
 
-    grace_ms: int = _ms(8_000)
-    directory_ttl_ms: int = _ms(1_000)
-    kept_factor: int = _field(3, low=1, high=10)
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class TelemetrySettings:
-    """Metrics and traces; each exporter costs memory.
-
-    Attributes:
-        metrics: Exporter of metrics; `prometheus` is `/metrics` of the
-            readiness listener.
-        traces: Exporter of traces.
-        otlp_endpoint: Base address of the OTLP receiver over HTTP.
-        interval_ms: How often metrics are pushed by OTLP.
-    """
-
-    metrics: str = _field("none", choices=("none", "prometheus", "otlp"))
-    traces: str = _field("none", choices=("none", "otlp"))
-    otlp_endpoint: str = ""
-    interval_ms: int = _ms(10_000)
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class LoggingSettings:
-    """Logs on standard error.
-
-    Attributes:
-        level: Lowest level that is written.
-    """
-
-    level: str = _field(
-        "info", choices=("debug", "info", "warning", "error", "critical")
-    )
+    grace_ms: int = sections.milliseconds(8_000)
+    directory_ttl_ms: int = sections.milliseconds(1_000)
+    kept_factor: int = sections.setting(3, low=1, high=10)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -228,8 +174,8 @@
     workers: WorkerSettings = WorkerSettings()
     limits: LimitSettings = LimitSettings()
     stop: StopSettings = StopSettings()
-    telemetry: TelemetrySettings = TelemetrySettings()
-    logging: LoggingSettings = LoggingSettings()
+    telemetry: sections.TelemetrySettings = sections.TelemetrySettings()
+    logging: sections.LoggingSettings = sections.LoggingSettings()
 
 
 def load(path: pathlib.Path) -> Settings:
