--- a/oleanderbay/gateway/feed.py
+++ b/oleanderbay/gateway/feed.py
@@ -77,8 +77,7 @@
         whole = True
         while True:
             more = False
-            if not whole:
-                await self.turn()
+            await self.turn()
             try:
                 if whole:
                     self.replace(await self.store.newest(self.topic))
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -132,3 +132,19 @@
     made.hear(page(7, (6, "b", b"old")), True, 3_000)
     assert [c.key for c in changes] == ["a"] and made.age_ms() == 1_000
     assert made.steady_ms() == 1_000
+
+
+async def test_an_overtaken_read_changes_nothing():
+    """It would bring back what a repetition, not forwarded, had ended."""
+    store, clock = parts.Store(), clocks.ManualClock()
+    made, changes = followed(store, clock)
+    answer = asyncio.get_running_loop().create_future()
+    store.answers = [page(3, (1, "a", b"1"))]
+    store.read = lambda *_: answer
+    task = asyncio.create_task(made.run())
+    await clock.advance(100)
+    made.hear(page(9), False, 50)
+    answer.set_result(page(6, (5, "a", b"2")))
+    await clock.advance(1)
+    assert len(changes) == 1 and made.read_ms == 100
+    task.cancel()
