Test a batch that exceeds a frame

Lost history makes a reader send all records, about 4.3 MB at 12,000 workers, which is more than a frame holds. The subscriber then reads the store itself and subscribes again; the test limits frames to 150 bytes.

--- a/tests/gateway/test_reading.py
+++ b/tests/gateway/test_reading.py
@@ -361,6 +361,29 @@
     assert not any(n.gateway.reading.follows() for n in following)
 
 
+async def test_a_batch_that_exceeds_a_frame_is_read_at_the_store(
+    site, monkeypatch
+):
+    """A large fleet would never be shared again after lost history."""
+    reader, following = site.split()
+    encode, refused = frames.encode, []
+
+    def limited(*given):
+        try:
+            return encode(*given, max_bytes=150)
+        except frames.FrameTooLargeError:
+            refused.append(given)
+            raise
+
+    monkeypatch.setattr(frames, "encode", limited)
+    await site.put("w2", gone=True)
+    expire(site, reader, following)
+    await site.advance(4_000)
+    assert refused and len(site.split()[1]) == 2
+    for node in site.nodes:
+        assert set(node.gateway.known.workers) == {"w0", "w1"}
+
+
 async def test_a_connection_without_batches_is_opened_again(site):
     """A gateway would read for itself for ever after a lost connection."""
     reader, _ = site.split()
