Measure processor time of heartbeats with zone summaries

A test gives a real gateway a summary and checks that load, demand, evidence, capacity and directory take it and drop it when it expires.

--- a/bench/exchange.py
+++ b/bench/exchange.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import itertools
 from collections.abc import Iterator, Mapping
 from typing import Any
 
@@ -167,7 +168,7 @@
             gateways = made.outbox.gateways(made.contents())
             found.append(
                 made.outbox.own(made.contents(), {}, 0, 1_000)
-                | {"gateways": [dataclasses.astuple(g) for g in gateways]}
+                | {"gateways": [g.row() for g in gateways]}
             )
         return found
 
@@ -317,6 +318,54 @@
         yield _result(f"{name}_{figure}", unit, series)
 
 
+def _beat_us(size: int, zones: int, role: str) -> float:
+    """Returns the processor time of one heartbeat, without sockets."""
+    fleet = _Fleet(size, zones, 8)
+    one, told = _informed(fleet, role)
+
+    def beat() -> None:
+        if role == "first_relay":
+            one.outbox.pending = dict.fromkeys(body["zone"] for body in told)
+        one.send_heartbeats()
+
+    return harness.cpu_us_per_call(beat, 10, 3)
+
+
+def _heard_us(size: int, zones: int, role: str) -> float:
+    """Returns the processor time to take the summaries of all zones."""
+    one, told = _informed(_Fleet(size, zones, 8), role)
+    short = [{k: body[k] for k in body if k != "gateways"} for body in told]
+    sequence = itertools.count(10)
+
+    def hear() -> None:
+        _tell_zones(one, short, next(sequence), role != "first_relay")
+
+    return harness.cpu_us_per_call(hear, 10, 3)
+
+
+def _informed(
+    fleet: _Fleet, role: str
+) -> tuple[peers.Peers, list[dict[str, Any]]]:
+    """Returns a gateway of the first zone that knows all others."""
+    number = fleet.ranked(0)[0 if role == "first_relay" else -1]
+    one = fleet.make(number)
+    told = fleet.summaries(0)
+    _tell(one, fleet.heartbeats(number), 1)
+    _tell_zones(one, told, 1, role != "first_relay")
+    one.send_heartbeats()
+    return one, told
+
+
 def run() -> Iterator[harness.Result]:
-    """Runs the counts; there is nothing else."""
+    """Runs the counts, and measures processor time at the largest size."""
     yield from counts()
+    size = SIZES[-1]
+    for zones in ZONES:
+        for role in ROLES[:2]:
+            for name, measure in (("beat", _beat_us), ("heard", _heard_us)):
+                yield harness.Result(
+                    name=f"exchange.after_{zones}_zones_{role}_{name}",
+                    value=measure(size, zones, role),
+                    unit="us",
+                    detail={"size": size},
+                )
--- a/oleanderbay/gateway/summaries.py
+++ b/oleanderbay/gateway/summaries.py
@@ -55,6 +55,18 @@
     leaving: bool
     relay: bool
 
+    def row(self) -> tuple[str | bool, ...]:
+        """Returns the fields in their order, as messages hold them."""
+        return (
+            self.id,
+            self.start_id,
+            self.host,
+            self.callers,
+            self.ready,
+            self.leaving,
+            self.relay,
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Summary:
@@ -95,7 +107,7 @@
         if gateways is None:
             del body["gateways"]
         else:
-            body["gateways"] = [dataclasses.astuple(one) for one in gateways]
+            body["gateways"] = [one.row() for one in gateways]
         return body
 
 
@@ -144,7 +156,7 @@
 
 def digest(gateways: Iterable[Listed]) -> int:
     """Returns the digest of a list in the order of the ids."""
-    packed = msgpack.packb([dataclasses.astuple(one) for one in gateways])
+    packed = msgpack.packb([one.row() for one in gateways])
     return xxhash.xxh64_intdigest(packed)
 
 
--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -7,9 +7,10 @@
 import socket
 
 import aiohttp
+import msgpack
 import pytest
 
-from oleanderbay.gateway import entry, settings
+from oleanderbay.gateway import entry, peers, settings, summaries
 from oleanderbay.platform import ingress, names, orders, records, store
 from oleanderbay.standins import group_worker, metadata_store
 from tests.gateway import parts
@@ -238,3 +239,56 @@
         r"workers_age_milliseconds{.*} ",
     ):
         assert re.search(f"^oleanderbay_{sample}", shown, re.MULTILINE), sample
+
+
+async def test_a_zone_s_summary_reaches_each_part_and_its_end_does(site):
+    """A part that ignores it would see no other zone in a large fleet."""
+    one = site.gateways[0]
+    sums = {
+        **summaries.EMPTY,
+        "in_flight": {"w9": 3},
+        "busy": 2,
+        "demand": {"small": 2.5},
+        "suspects": ["w9"],
+        "lost": {"w8": 7},
+        "loads_begun": 4,
+        "planned": {"small": 1},
+        "serving": True,
+    }
+    listed = [["g9", "s", "127.0.0.9", "far:1", True, False, True]]
+    body = {
+        "zone": "z9",
+        "id": "g9",
+        "start_id": "s",
+        "host": "127.0.0.9",
+        "sequence": 1,
+        "interval_ms": 50,
+        "store_age_ms": 0,
+        "offsets": {},
+        "digest": 1,
+        "sums": sums,
+        "gateways": listed,
+    }
+    message = {
+        "protocol": peers.PROTOCOL,
+        "id": "g9",
+        "interval_ms": 50,
+        "forwarded": False,
+        "summaries": [body],
+    }
+
+    def seen():
+        return (
+            one.loads.at("w9"),
+            one.demand.mean("small") - one.demand.own.get("small", 0.0),
+            one.evidence.suspected("w9"),
+            one.evidence.is_lost("w8", 7),
+            sum(one.keeper.capacity.peer_loads.values()),
+            "far:1" in one.addresses(),
+        )
+
+    one.peers._received(msgpack.packb(message))
+    assert seen() == (3, 2.5, True, True, 4, True) and one.demand.begun
+    assert one.peers.known() == 3
+    await parts.until(lambda: seen() == (0, 0.0, False, False, 0, False))
+    assert one.peers.known() == 3
