--- a/bench/exchange.py
+++ b/bench/exchange.py
@@ -3,10 +3,12 @@
 import collections
 import dataclasses
 import itertools
+import logging
 from collections.abc import Iterator, Mapping
 from typing import Any
 
 import msgpack
+import structlog
 
 from bench import harness
 from oleanderbay.gateway import feed, interfaces, peers, settings, summaries
@@ -292,6 +294,9 @@
 
 def counts() -> Iterator[harness.Result]:
     """Counts datagrams and bytes before and after zone summaries."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
     for zones in ZONES:
         # In a full mesh all gateways send alike.
         before = dict.fromkeys(ROLES, _series(zones, FULL_MESH, "member"))
