Test that repeats use new connections

Two mutations survived the tests of reuse: a repeat on a second idle connection, and an unreachable worker that was not suspected. Each of the new tests fails under its mutation.

--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -15,6 +15,7 @@
     demand,
     interfaces,
     pipeline,
+    sending,
     table,
 )
 from oleanderbay.platform import ingress, names
@@ -257,6 +258,30 @@
             assert made.known.evidence.of("w0").failures
 
 
+async def test_a_repeat_goes_on_a_new_connection():
+    """A worker that closes one idle connection may close them all."""
+    async with world(1) as made:
+        await asyncio.gather(made.call(), made.call())
+        idle = {e.port for e in made.workers[0].executions}
+        assert len(idle) == 2
+        made.workers[0].faults["reset_before"] = 1
+        assert (await made.call()).status == 200
+        assert made.workers[0].executions[-1].port not in idle
+
+
+async def test_an_unreachable_worker_is_suspected_on_each_connection():
+    """Further requests would wait for it as well."""
+    async with world(1) as made:
+        for error in (
+            sending.AttemptError("refused", False),
+            sending.AttemptError("unconfirmed", True, True, unreachable=True),
+        ):
+            made.sender.open = mock.AsyncMock(side_effect=error)
+            await made.call()
+            assert made.known.evidence.suspects() == ["w0"]
+            made.known.evidence.heard("w0")
+
+
 async def test_an_answer_on_an_idle_connection_must_name_the_request():
     """What comes unasked must not answer the next request."""
     async with world(1) as made:
