--- a/oleanderbay/gateway/settings.py
+++ b/oleanderbay/gateway/settings.py
@@ -86,6 +86,8 @@
             should exceed `worker_interval_ms` by some reads. With 0 each
             gateway always reads for itself.
         ownership_ttl_ms: Time after which a silent owner loses its domains.
+            Together with one join interval it is below 2 s, in which domains
+            have to be taken over.
         join_interval_ms: Time between confirmations of ownership.
     """
 
@@ -95,7 +97,7 @@
     wait_ms: int = sections.milliseconds(2_000, low=0)
     worker_interval_ms: int = sections.milliseconds(500)
     reader_silence_ms: int = sections.milliseconds(800, low=0)
-    ownership_ttl_ms: int = sections.milliseconds(1_500)
+    ownership_ttl_ms: int = sections.milliseconds(1_400)
     join_interval_ms: int = sections.milliseconds(500)
 
 
