Count the groups of each service by itself

Cause: standing groups were matched by the name of their model only, so two services with a model of one name had each other's capacity in the plan.

Change: a group counts for its own service.

--- a/oleanderbay/gateway/capacity.py
+++ b/oleanderbay/gateway/capacity.py
@@ -52,32 +52,32 @@
         self.known = known
         self.evidence = evidence
         self.dissolution = ended
-        self._recorded: dict[table.Engine, dict[Key, workers.Group]] = {}
+        self._recorded: dict[str, dict[Key, workers.Group]] = {}
         self._revision = -1
 
-    def count(self, engine: table.Engine) -> Standing:
-        """Returns the groups of an engine's models."""
+    def count(self, service: table.Service) -> Standing:
+        """Returns the groups of a service."""
         any_lost = self.evidence.any_lost()
         models = {
             key: group.model
-            for key, group in self._of(engine).items()
+            for key, group in self._of(service).items()
             if key not in self.dissolution.closed
             and not self.dissolution.closing(key)
             and not (any_lost and self._lost(group))
         }
         return Standing(models, collections.Counter(models.values()))
 
-    def _of(self, engine: table.Engine) -> Mapping[Key, workers.Group]:
+    def _of(self, service: table.Service) -> Mapping[Key, workers.Group]:
         if self._revision != self.known.revision:
             self._recorded = {}
             self._revision = self.known.revision
-        if engine not in self._recorded:
-            self._recorded[engine] = {
+        if service.name not in self._recorded:
+            self._recorded[service.name] = {
                 key: group
                 for key, group in self.known.groups().items()
-                if _stands(engine, group, self.known.evacuated)
+                if _stands(service, group, self.known.evacuated)
             }
-        return self._recorded[engine]
+        return self._recorded[service.name]
 
     def _lost(self, group: workers.Group) -> bool:
         return any(
@@ -87,12 +87,14 @@
 
 
 def _stands(
-    engine: table.Engine, group: workers.Group, evacuated: frozenset[str]
+    service: table.Service, group: workers.Group, evacuated: frozenset[str]
 ) -> bool:
     """Whether a group is whole, stays and may serve, by the records."""
-    model = engine.model(group.model)
+    assert service.engine is not None
+    model = service.engine.model(group.model)
     return (
-        model is not None
+        group.service == service.name
+        and model is not None
         and group.complete(model.size)
         and not any(
             worker.draining or worker.zone in evacuated
--- a/oleanderbay/gateway/keeper.py
+++ b/oleanderbay/gateway/keeper.py
@@ -173,7 +173,7 @@
             return
         # Nothing that a step does changes which groups stand: what it starts
         # runs after it.
-        standing = self.standing.count(engine)
+        standing = self.standing.count(service)
         for domain in owned:
             self._domain(service, engine, domain, domains, groups, standing)
 
--- a/tests/gateway/test_capacity.py
+++ b/tests/gateway/test_capacity.py
@@ -1,5 +1,6 @@
 """Tests of counting the groups that serve."""
 
+import dataclasses
 import random
 
 import pytest
@@ -94,9 +95,9 @@
     seen = set()
     for _ in range(200):
         change(known, ended, rng)
-        engine = known.state.table.services["chat"].engine
-        found = counted.count(engine)
-        assert found.models == expected(known, ended, engine)
+        service = known.state.table.services["chat"]
+        found = counted.count(service)
+        assert found.models == expected(known, ended, service.engine)
         assert sum(found.counts.values()) == len(found.models)
         seen.add(len(found.models))
     assert len(seen) > 2
@@ -121,12 +122,12 @@
         lambda group, size: looked.append(group.name) or complete(group, size),
     )
     for _ in range(5):
-        assert counted.count(parts.ENGINE.engine).counts == {"small": 9}
+        assert counted.count(parts.ENGINE).counts == {"small": 9}
     assert len(looked) == 9
     known.drop("g01")
-    assert counted.count(parts.ENGINE.engine).counts == {"small": 9}
+    assert counted.count(parts.ENGINE).counts == {"small": 9}
     known.state.forget("g01")
-    assert counted.count(parts.ENGINE.engine).counts == {"small": 8}
+    assert counted.count(parts.ENGINE).counts == {"small": 8}
 
 
 def test_groups_of_an_evacuated_zone_do_not_count():
@@ -138,11 +139,20 @@
     known = parts.Known()
     known.add(*(parts.worker(f"g{rank}", "g", rank) for rank in (0, 1)))
     counted, _ = standings(known)
-    engine = parts.ENGINE.engine
-    assert counted.count(engine).counts == {"small": 1}
+    assert counted.count(parts.ENGINE).counts == {"small": 1}
     for value, count in ((b"x", 0), (None, 1)):
         known.offset += 1
         known.state.configuration_changed(
             interfaces.KeyedRecord(known.offset, "zone/z1", value)
         )
-        assert counted.count(engine).counts["small"] == count
+        assert counted.count(parts.ENGINE).counts["small"] == count
+
+
+def test_groups_of_another_service_do_not_count():
+    """Two services with a model of one name each had the other's capacity."""
+    known = parts.Known()
+    known.add(*(parts.worker(f"g{rank}", "g", rank) for rank in (0, 1)))
+    counted, _ = standings(known)
+    other = dataclasses.replace(parts.ENGINE, name="other")
+    assert counted.count(parts.ENGINE).counts == {"small": 1}
+    assert not counted.count(other).models
