Merge the two halves of a conversion and the two maps of peers' loads

Allocation.convert only guarded a second method with the same arguments, and Load kept two maps by peer that always changed together. One method and one map do the same. Random numbers are drawn in the same order.

Measured: ruff, mypy and the gateway's tests pass; no behaviour changes.

--- a/oleanderbay/gateway/allocation.py
+++ b/oleanderbay/gateway/allocation.py
@@ -78,11 +78,37 @@
             groups: The domain's groups that stand.
         """
         if (
-            self.demand.begun
-            and self.rng.random() < SURPLUS_CHANCE
-            and not self.capacity.converting()
+            not self.demand.begun
+            or self.rng.random() >= SURPLUS_CHANCE
+            or self.capacity.converting()
         ):
-            self._convert(engine, needs, free, groups)
+            return
+        _, others = self.reservations.split(free)
+        chosen = conversion.surplus(
+            engine,
+            needs,
+            [self._open_group(group) for group in groups if group.open],
+            {
+                model.name: sum(
+                    not planner.needs_load(item, model) for item in others
+                )
+                for model in engine.models
+            },
+        )
+        if chosen is None:
+            return
+        if not chosen.warm:
+            self.staging.members(engine, chosen, groups)
+            return
+        self.capacity.plan(chosen.model.name)
+        by_key = {(group.name, group.epoch): group for group in groups}
+        for given in chosen.groups:
+            log.info(
+                "group converted", group=given.name, model=chosen.model.name
+            )
+            self.telemetry.group_changed("converted")
+            self.reservations.add(given.name, given.epoch, chosen.model)
+            self.dissolution.start(by_key[given.name, given.epoch], True)
 
     def allocate(
         self,
@@ -214,41 +240,6 @@
         # The planned group counts as capacity already.
         return planner.form(items, engine, {name: planner.Need(1.0, 0.0)}, 0)
 
-    def _convert(
-        self,
-        engine: table.Engine,
-        needs: Mapping[str, planner.Need],
-        free: list[planner.Free],
-        groups: list[workers.Group],
-    ) -> None:
-        """Closes groups whose workers a model under pressure needs more."""
-        _, others = self.reservations.split(free)
-        chosen = conversion.surplus(
-            engine,
-            needs,
-            [self._open_group(group) for group in groups if group.open],
-            {
-                model.name: sum(
-                    not planner.needs_load(item, model) for item in others
-                )
-                for model in engine.models
-            },
-        )
-        if chosen is None:
-            return
-        if not chosen.warm:
-            self.staging.members(engine, chosen, groups)
-            return
-        self.capacity.plan(chosen.model.name)
-        by_key = {(group.name, group.epoch): group for group in groups}
-        for given in chosen.groups:
-            log.info(
-                "group converted", group=given.name, model=chosen.model.name
-            )
-            self.telemetry.group_changed("converted")
-            self.reservations.add(given.name, given.epoch, chosen.model)
-            self.dissolution.start(by_key[given.name, given.epoch], True)
-
     def _open_group(self, group: workers.Group) -> conversion.OpenGroup:
         return conversion.OpenGroup(
             group.name,
--- a/oleanderbay/gateway/load.py
+++ b/oleanderbay/gateway/load.py
@@ -15,8 +15,8 @@
     def __init__(self) -> None:
         self.own: collections.Counter[str] = collections.Counter()
         self.others: collections.Counter[str] = collections.Counter()
-        self._by_peer: dict[str, Mapping[str, int]] = {}
-        self._busy: dict[str, int] = {}
+        # Counts, and the gateways that they stand for, by peer or zone.
+        self._by_peer: dict[str, tuple[Mapping[str, int], int]] = {}
 
     def started(self, worker_id: str) -> None:
         """Counts a request that is being sent."""
@@ -40,7 +40,8 @@
         """
         own = sum(self.own[worker_id] for worker_id in worker_ids)
         total = own + sum(self.others[worker_id] for worker_id in worker_ids)
-        return max(own, total / (1 + sum(self._busy.values())))
+        busy = sum(busy for _, busy in self._by_peer.values())
+        return max(own, total / (1 + busy))
 
     def update_peer(
         self, peer_id: str, counts: Mapping[str, int], busy: int = 1
@@ -52,11 +53,10 @@
             counts: Requests by worker id.
             busy: Gateways that have such requests.
         """
-        self.others.subtract(self._by_peer.pop(peer_id, {}))
-        self._busy.pop(peer_id, None)
+        before, _ = self._by_peer.pop(peer_id, ({}, 0))
+        self.others.subtract(before)
         if counts:
-            self._by_peer[peer_id] = counts
-            self._busy[peer_id] = busy
+            self._by_peer[peer_id] = counts, busy
             self.others.update(counts)
         self.others = +self.others
 
