Ask health once whether a group lost a member, and share a bench record

Choices and the count of standing groups each went through a group's members with the same shortcut; Health.lost_among does it. The bench of the shared reader built the same record of a worker as the other gateway benches.

--- a/bench/gateway_parts.py
+++ b/bench/gateway_parts.py
@@ -111,28 +111,30 @@
     ).encode()
 
 
-def worker(number: int, born: int = 1, size: int = GROUP_SIZE) -> bytes:
+def worker(
+    number: int, born: int = 1, size: int = GROUP_SIZE, **changes: Any
+) -> bytes:
+    """Returns a worker's record, with some fields changed or added."""
     group, rank = divmod(number, size)
-    return json.dumps(
-        {
-            "service": "chat",
-            "address": f"10.0.{number // 250}.{number % 250}:8000",
-            "zone": f"zone-{number // DOMAIN_SIZE % ZONES}",
-            "domain": f"domain-{number // DOMAIN_SIZE}",
-            "slots": 64,
-            "state": "ready",
-            "born": born,
-            "sequence": 3,
-            "models": [{"name": "large"}],
-            "staged": ["large"],
-            "group": {
-                "name": f"gateway-1/abcdef012345-{group}",
-                "epoch": 65_536 + group,
-                "rank": rank,
-                "state": "ready" if rank else "open",
-            },
-        }
-    ).encode()
+    body = {
+        "service": "chat",
+        "address": f"10.0.{number // 250}.{number % 250}:8000",
+        "zone": f"zone-{number // DOMAIN_SIZE % ZONES}",
+        "domain": f"domain-{number // DOMAIN_SIZE}",
+        "slots": 64,
+        "state": "ready",
+        "born": born,
+        "sequence": 3,
+        "models": [{"name": "large"}],
+        "staged": ["large"],
+        "group": {
+            "name": f"gateway-1/abcdef012345-{group}",
+            "epoch": 65_536 + group,
+            "rank": rank,
+            "state": "ready" if rank else "open",
+        },
+    }
+    return json.dumps(body | changes).encode()
 
 
 def record(
--- a/bench/sharing.py
+++ b/bench/sharing.py
@@ -14,7 +14,7 @@
 
 import structlog
 
-from bench import harness
+from bench import gateway_parts, harness
 from oleanderbay.gateway import feed, interfaces, reading
 from oleanderbay.platform import names
 from oleanderbay.process import clock as clocks
@@ -35,30 +35,15 @@
 
 def _record(number: int, now_ms: int) -> bytes:
     """Returns a worker's record, of which only the load changes."""
-    group, rank = divmod(number, 4)
     cold = number % COLD_EVERY == 0
-    return json.dumps(
-        {
-            "service": "chat",
-            "address": f"10.0.{number // 250}.{number % 250}:8000",
-            "zone": f"zone-{number % ZONES}",
-            "domain": f"domain-{number // 16}",
-            "slots": 64,
-            "state": "ready",
-            "born": 1,
-            "sequence": 3,
-            "in_flight": now_ms // RECORD_MS % 64,
-            "cold_remaining_ms": 600_000 - now_ms if cold else 0,
-            "models": [{"name": "large"}],
-            "staged": ["large"],
-            "group": {
-                "name": f"gateway-1/abcdef012345-{group}",
-                "epoch": 65_536 + group,
-                "rank": rank,
-                "state": "ready" if rank else "open",
-            },
-        }
-    ).encode()
+    return gateway_parts.worker(
+        number,
+        size=4,
+        zone=f"zone-{number % ZONES}",
+        domain=f"domain-{number // 16}",
+        in_flight=now_ms // RECORD_MS % 64,
+        cold_remaining_ms=600_000 - now_ms if cold else 0,
+    )
 
 
 class _Fleet:
--- a/oleanderbay/gateway/capacity.py
+++ b/oleanderbay/gateway/capacity.py
@@ -57,13 +57,12 @@
 
     def count(self, service: table.Service) -> Standing:
         """Returns the groups of a service."""
-        any_lost = self.evidence.any_lost()
         models = {
             key: group.model
             for key, group in self._of(service).items()
             if key not in self.dissolution.closed
             and not self.dissolution.closing(key)
-            and not (any_lost and self._lost(group))
+            and not self.evidence.lost_among(group.members.values())
         }
         return Standing(models, collections.Counter(models.values()))
 
@@ -79,12 +78,6 @@
             }
         return self._recorded[service.name]
 
-    def _lost(self, group: workers.Group) -> bool:
-        return any(
-            self.evidence.is_lost(worker.id, worker.born_ms)
-            for worker in group.members.values()
-        )
-
 
 def _stands(
     service: table.Service, group: workers.Group, evacuated: frozenset[str]
--- a/oleanderbay/gateway/choice.py
+++ b/oleanderbay/gateway/choice.py
@@ -302,14 +302,10 @@
         self, candidates: Iterable[Candidate]
     ) -> Iterator[workers.Worker]:
         """Yields the workers that no gateway suspects or found lost."""
-        any_lost = self.evidence.any_lost()
         for candidate in candidates:
-            if self.evidence.suspected(candidate.worker.id):
-                continue
-            if not any_lost or not any(
-                self.evidence.is_lost(worker.id, worker.born_ms)
-                for worker in candidate.members
-            ):
+            if not self.evidence.suspected(
+                candidate.worker.id
+            ) and not self.evidence.lost_among(candidate.members):
                 yield candidate.worker
 
     def _slots(self, service: table.Service, worker: workers.Worker) -> int:
--- a/oleanderbay/gateway/health.py
+++ b/oleanderbay/gateway/health.py
@@ -4,6 +4,7 @@
 import dataclasses
 from collections.abc import Iterable, Mapping
 
+from oleanderbay.gateway import workers
 from oleanderbay.process import clock as clocks
 
 FAILURES_IN_A_ROW = 3
@@ -179,6 +180,13 @@
         """Whether any worker was found gone."""
         return bool(self.lost or self._finding_lost)
 
+    def lost_among(self, members: Iterable[workers.Worker]) -> bool:
+        """Whether any of some workers was found gone."""
+        # Nearly always none is, and choices ask for each group.
+        return self.any_lost() and any(
+            self.is_lost(worker.id, worker.born_ms) for worker in members
+        )
+
     def suspected(self, worker_id: str) -> bool:
         """Whether a worker is suspected by any gateway.
 
