--- a/oleanderbay/gateway/listener.py
+++ b/oleanderbay/gateway/listener.py
@@ -14,6 +14,7 @@
 
 from oleanderbay.gateway import (
     arrivals,
+    heads,
     interfaces,
     pipeline,
     settings,
@@ -75,7 +76,7 @@
 
     async def refuse(self, refusal: outcome.Refusal) -> None:
         """Writes a refusal as the answer."""
-        await self._send(arrivals.refusal_response(refusal))
+        await self._send(heads.refusal_response(refusal))
 
     def cut(self) -> None:
         """Ends the connection, so that the answer is seen as incomplete."""
@@ -206,7 +207,7 @@
         self, request: web.BaseRequest, answer: Answer, arrived_ms: int
     ) -> None:
         limits = self.limits()
-        malformed = arrivals.check_head(request, limits.max_header_bytes)
+        malformed = heads.check_head(request, limits.max_header_bytes)
         connection = request.protocol
         if malformed is not None or (
             isinstance(connection, arrivals.Connection) and connection.switched
@@ -217,9 +218,9 @@
             return
         call = self.translator.call(request, None, arrived_ms)
         if isinstance(call, str):
-            await self._refuse(answer, arrivals.bad_request(call))
+            await self._refuse(answer, heads.bad_request(call))
             return
-        call = arrivals.in_origin_form(call)
+        call = heads.in_origin_form(call)
         if request.body_exists:
             body = await self._body(request, call, limits)
             if isinstance(body, outcome.Refusal):
@@ -248,7 +249,7 @@
         limits: table.Limits,
     ) -> bytes | outcome.Refusal:
         max_bytes = limits.max_body_bytes
-        too_large = arrivals.bad_request("the body is too large", 413)
+        too_large = heads.bad_request("the body is too large", 413)
         if (request.content_length or 0) > max_bytes:
             return too_large
         deadline_ms = self.runner.deadline_ms(call)
@@ -268,9 +269,9 @@
                         return too_large
                     parts.append(part)
         except TimeoutError:
-            return arrivals.bad_request("the body took too long", 408)
+            return heads.bad_request("the body took too long", 408)
         except web.RequestPayloadError:
-            return arrivals.bad_request("the body is malformed")
+            return heads.bad_request("the body is malformed")
         except OSError as error:
             raise ConnectionResetError("the body broke off") from error
         return b"".join(parts)
--- a/oleanderbay/gateway/telemetry.py
+++ b/oleanderbay/gateway/telemetry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import functools
 import threading
 from collections.abc import (
@@ -19,7 +18,7 @@
 from opentelemetry import metrics, trace
 
 from oleanderbay.gateway import feed, interfaces, settings, state
-from oleanderbay.process import instruments as instruments_module
+from oleanderbay.gateway import instruments as instruments_module
 from oleanderbay.process import spans
 from oleanderbay.request import outcome
 
@@ -38,33 +37,6 @@
     """The exporters can't be loaded."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Instruments(instruments_module.RequestCounters):
-    """The metrics of a gateway.
-
-    Attributes:
-        refusals: Answers of the gateway itself, by reason and status.
-        first_event: Time from arrival to a stream's first event in ms.
-        orders: Orders and reports, by operation and result.
-        loads: Loads of models that were begun.
-        group_changes: Groups by change: formed, closed or converted.
-        store_reads: Reads of the store, by topic and result.
-        store_failures: Calls without a usable answer, by operation.
-        peer_reads: Reads of records from peers, by topic and result.
-        connections: Connections for requests to workers: opened or reused.
-    """
-
-    refusals: metrics.Counter
-    first_event: metrics.Histogram
-    orders: metrics.Counter
-    loads: metrics.Counter
-    group_changes: metrics.Counter
-    store_reads: metrics.Counter
-    store_failures: metrics.Counter
-    peer_reads: metrics.Counter
-    connections: metrics.Counter
-
-
 class Failed(Protocol):
     """An attempt that did not end the request.
 
@@ -110,7 +82,7 @@
         self._tracer: trace.Tracer | None = None
         if self._exporters is not None and config.traces != "none":
             self._tracer = self._exporters.tracer
-        self.instruments = _instruments(self._meter)
+        self.instruments = instruments_module.make(self._meter)
 
     def exposition(self) -> bytes | None:
         """Returns the metrics for Prometheus; None if it was not chosen."""
@@ -388,33 +360,5 @@
         ) from error
 
 
-def _instruments(meter: metrics.Meter) -> Instruments:
-    def counter(name: str, description: str) -> metrics.Counter:
-        return meter.create_counter(
-            f"oleanderbay.{name}", description=description
-        )
-
-    return Instruments(
-        **instruments_module.request_counters(meter),
-        refusals=counter("refusals", "Answers of the gateway itself."),
-        first_event=meter.create_histogram(
-            "oleanderbay.first_event", "ms", "Time to the first event."
-        ),
-        orders=counter("orders", "Orders to workers."),
-        loads=counter("loads", "Loads of models that were begun."),
-        group_changes=counter(
-            "group_changes", "Groups formed, closed or converted."
-        ),
-        store_reads=counter("store_reads", "Reads of the store."),
-        store_failures=counter(
-            "store_failures", "Calls of the store without a usable answer."
-        ),
-        peer_reads=counter("peer_reads", "Reads of records from peers."),
-        connections=counter(
-            "connections", "Connections for requests to workers."
-        ),
-    )
-
-
 # For parts that are used without a gateway.
 OFF = Telemetry(settings.TelemetrySettings(), "")
