Show when a gateway lacks records that its peers have

Change: the log events 'behind peers', 'caught up with peers' and 'records fetched', 'took_ms' in 'records not fetched', 'behind_ms' in the status and one gauge per topic.

Measured: tests/gateway/test_comparison.py and test_telemetry.py pass; what is read and when is unchanged.

--- a/oleanderbay/gateway/comparison.py
+++ b/oleanderbay/gateway/comparison.py
@@ -1,7 +1,10 @@
 """Comparison of feed offsets, to fetch records that other gateways have."""
 
+import dataclasses
 from collections.abc import Iterable, Mapping
 
+import structlog
+
 from oleanderbay.gateway import feed, membership, summaries
 from oleanderbay.process import clock as clocks
 
@@ -12,6 +15,26 @@
 # from another zone, so that the relays fetch the records first and the others
 # get them within the zone.
 NON_RELAY_DELAY_FACTOR = 2
+# A feed that lacks an offset for this long is logged as behind. The slowest
+# regular read of the store returns its records earlier.
+BEHIND_LOG_MS = 1_000
+
+log = structlog.get_logger()
+
+
+@dataclasses.dataclass(slots=True)
+class MissingOffset:
+    """An offset that another gateway has reached and the own feed has not.
+
+    Attributes:
+        offset: The offset.
+        since_ms: Monotonic time since which it is known to be missing.
+        logged: Whether the feed has been logged as behind.
+    """
+
+    offset: int
+    since_ms: int
+    logged: bool = False
 
 
 class OffsetComparison:
@@ -22,12 +45,49 @@
     ) -> None:
         self.clock = clock
         self.feeds = feeds
+        self._missing: dict[str, MissingOffset] = {}
+
+    def behind_ms(self, name: str) -> int:
+        """Returns for how long a feed has lacked records that a peer has."""
+        missing = self._missing.get(name)
+        if missing is None or missing.offset <= self.feeds[name].offset:
+            return 0
+        return self.clock.now_ms() - missing.since_ms
+
+    def _observe(self, name: str, offset: int) -> None:
+        """Records the offset of another gateway's feed."""
+        now_ms = self.clock.now_ms()
+        own_offset = self.feeds[name].offset
+        missing = self._missing.get(name)
+        if missing is not None and missing.offset <= own_offset:
+            del self._missing[name]
+            if missing.logged:
+                log.info(
+                    "caught up with peers",
+                    topic=name,
+                    offset=own_offset,
+                    behind_ms=now_ms - missing.since_ms,
+                )
+            missing = None
+        if missing is None:
+            if offset > own_offset:
+                self._missing[name] = MissingOffset(offset, now_ms)
+            return
+        if not missing.logged and now_ms - missing.since_ms >= BEHIND_LOG_MS:
+            missing.logged = True
+            log.warning(
+                "behind peers",
+                topic=name,
+                offset=own_offset,
+                missing=missing.offset,
+            )
 
     def topics_to_fetch(self, peer: membership.Peer) -> list[str]:
         """Returns the topics to fetch from a peer."""
         now_ms = self.clock.now_ms()
         found = []
         for name, own_feed in self.feeds.items():
+            self._observe(name, peer.offsets.get(name, -1))
             if peer.offsets.get(name, -1) <= own_feed.offset:
                 peer.ahead_since_ms.pop(name, None)
                 continue
@@ -54,6 +114,7 @@
         delay_factor = 1 if relaying else NON_RELAY_DELAY_FACTOR
         found = []
         for name, own_feed in self.feeds.items():
+            self._observe(name, view.summary.offsets.get(name, -1))
             missing, since_ms = view.awaited_offsets.get(name, (-1, now_ms))
             if missing <= own_feed.offset:
                 missing, since_ms = view.summary.offsets.get(name, -1), now_ms
--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -106,7 +106,10 @@
             self.telemetry,
         )
         self.telemetry.register_gauges(
-            self.gateway_state, self.feeds, self.peers.live
+            self.gateway_state,
+            self.feeds,
+            self.peers.live,
+            self.peers.comparison.behind_ms,
         )
         self.shared_reads = self._create_shared_reads()
         self.peers.handlers[shared_reads.SUBSCRIBE] = (
@@ -280,6 +283,10 @@
                 name: topic_feed.age_ms()
                 for name, topic_feed in self.feeds.items()
             },
+            "behind_ms": {
+                name: self.peers.comparison.behind_ms(name)
+                for name in self.feeds
+            },
             "peers": sorted(self.peers.members.gateway_ids()),
             "reader": (
                 self.shared_reads.subscription.peer.id
--- a/oleanderbay/gateway/peers.py
+++ b/oleanderbay/gateway/peers.py
@@ -347,6 +347,7 @@
         self, peer: membership.Peer | summaries.Summary, name: str
     ) -> bool:
         own_feed = self.feeds[name]
+        started_ms = self.clock.now_ms()
         writer: asyncio.StreamWriter | None = None
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000):
@@ -364,6 +365,13 @@
                 ],
                 int(answer.body[1]),
             )
+            log.info(
+                "records fetched",
+                peer=peer.id,
+                topic=name,
+                offset=own_feed.offset,
+                took_ms=self.clock.now_ms() - started_ms,
+            )
             return True
         except (
             TimeoutError,
@@ -378,6 +386,7 @@
                 peer=peer.id,
                 topic=name,
                 error=repr(error),
+                took_ms=self.clock.now_ms() - started_ms,
             )
             return False
         finally:
--- a/oleanderbay/gateway/telemetry.py
+++ b/oleanderbay/gateway/telemetry.py
@@ -121,6 +121,7 @@
         gateway_state: state.State,
         feeds: Mapping[str, feed.Feed],
         peers: Collection[object],
+        behind_ms: Callable[[str], int],
     ) -> None:
         """Registers gauges of the configuration, the feeds and the peers."""
 
@@ -144,6 +145,13 @@
                 f"Time since the store's last answer about {name}.",
                 functools.partial(read_age, topic_feed),
             )
+            self.register_gauge(
+                f"{name}_behind",
+                "ms",
+                f"Time for which records about {name} that a peer has have "
+                "been missing.",
+                functools.partial(behind_ms, name),
+            )
         self.register_gauge(
             "peers_live", "", "Peers heard from lately.", lambda: len(peers)
         )
--- a/tests/gateway/test_comparison.py
+++ b/tests/gateway/test_comparison.py
@@ -1,8 +1,12 @@
 """Tests of when records are fetched from other gateways."""
 
 import dataclasses
+from unittest import mock
+
+import structlog
 
 from oleanderbay.gateway import comparison
+from oleanderbay.process import clock as clocks
 from tests.gateway import network
 
 
@@ -40,3 +44,30 @@
 def test_nothing_is_fetched_from_another_zone_if_own_zone_has_it():
     """Records must not cross zones once for each gateway."""
     assert fetch_times(True, 100) == []
+
+
+def test_time_behind_counts_until_the_missing_offset_is_reached():
+    """A gateway that misses records must show it although the store answers."""
+    clock, own_feed = clocks.ManualClock(), mock.Mock(offset=4)
+    tracker = comparison.OffsetComparison(clock, {"workers": own_feed})
+
+    def hear(offset, now_ms):
+        clock.set_ms(now_ms)
+        tracker.topics_to_fetch(
+            mock.Mock(offsets={"workers": offset}, ahead_since_ms={})
+        )
+        return tracker.behind_ms("workers")
+
+    own_feed.age_ms.return_value = own_feed.interval_ms = own_feed.wait_ms = 0
+    with structlog.testing.capture_logs() as logs:
+        assert [hear(4, 0), hear(5, 100), hear(6, 900)] == [0, 0, 800]
+        assert not logs
+        assert hear(9, 1_100) == 1_000
+        # Peers may always be ahead: the offset that was missing first counts.
+        own_feed.offset = 5
+        assert hear(10, 1_200) == 0 and hear(10, 1_300) == 100
+    assert [entry["event"] for entry in logs] == [
+        "behind peers",
+        "caught up with peers",
+    ]
+    assert logs[0]["missing"] == 5 and logs[1]["behind_ms"] == 1_100
--- a/tests/gateway/test_telemetry.py
+++ b/tests/gateway/test_telemetry.py
@@ -273,7 +273,7 @@
     known = SimpleNamespace(table=None)
     feed = mock.Mock(answered_ms=-1, age_ms=lambda: 40)
     gateway_telemetry.register_gauges(
-        known, {"configuration": feed}, {"g2": None}
+        known, {"configuration": feed}, {"g2": None}, {"configuration": 30}.get
     )
     assert _value(gateway_telemetry, "peers_live") == 1
     assert _value(gateway_telemetry, "configuration_version") is None
@@ -281,6 +281,7 @@
     known.table, feed.answered_ms = mock.Mock(version=7), 0
     assert _value(gateway_telemetry, "configuration_version") == 7
     assert _value(gateway_telemetry, "configuration_age_milliseconds") == 40
+    assert _value(gateway_telemetry, "configuration_behind_milliseconds") == 30
 
 
 def test_without_an_exporter_headers_are_unchanged():
