--- /dev/null
+++ b/tests/gateway/test_fetching.py
@@ -0,0 +1,157 @@
+"""Tests of how missing records are fetched from peers, over TCP."""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+
+import msgpack
+import pytest
+
+from oleanderbay.connection import frames
+from oleanderbay.gateway import comparison, feed, interfaces, peers, summaries
+from oleanderbay.process import clock as clocks
+from tests.gateway import parts
+
+TOPIC = "configuration"
+END_OFFSET = 5
+ANSWER = frames.encode(
+    peers.RECORDS,
+    1,
+    [[[END_OFFSET - 1, "config", bytes(320_000)]], END_OFFSET],
+)
+# Transfers a whole answer in about a second.
+CHUNK_BYTES = 8_000
+CHUNK_INTERVAL_S = 0.025
+
+
+class Zone:
+    """A gateway that is behind, and peers that hold the records it lacks.
+
+    Attributes:
+        feed: The feed that is behind.
+        clock: Clock of the gateway; the transfers take real time.
+        open: Number of requests that the peers are answering.
+        most: Largest value of `open`.
+        requests: Number of requests so far.
+        may_answer: The peers answer once this is set.
+    """
+
+    def __init__(self):
+        self.clock = clocks.ManualClock()
+        self.feed = feed.Feed(
+            parts.Store(),
+            interfaces.Topic.CONFIGURATION,
+            self.clock,
+            lambda record: None,
+            2_000,
+            0,
+        )
+        self.open = self.most = self.requests = 0
+        self.may_answer = asyncio.Event()
+        self._hosts = []
+        self._sequence = itertools.count(1)
+        self._servers = []
+
+    async def start(self, size):
+        self._servers.append(
+            await asyncio.start_server(self._serve, "127.0.0.2", 0)
+        )
+        port = self._servers[0].sockets[0].getsockname()[1]
+        self._hosts = [f"127.0.0.{number + 2}" for number in range(size)]
+        for host in self._hosts[1:]:
+            self._servers.append(
+                await asyncio.start_server(self._serve, host, port)
+            )
+        self.peers = peers.Peers(
+            dataclasses.replace(
+                parts.SETTINGS,
+                peers=dataclasses.replace(parts.SETTINGS.peers, port=port),
+            ),
+            "s",
+            self.clock,
+            {TOPIC: self.feed},
+            dict,
+            lambda peer, body: None,
+        )
+
+    async def close(self):
+        await self.peers.close()
+        self.may_answer.set()
+        for server in self._servers:
+            server.close()
+
+    def deliver_heartbeats(self):
+        """Delivers one heartbeat of each peer."""
+        sequence = next(self._sequence)
+        for host in self._hosts:
+            body = {
+                **summaries.EMPTY_CONTENTS,
+                "protocol": peers.PROTOCOL,
+                "id": host,
+                "start_id": "s",
+                "host": host,
+                "zone": parts.SETTINGS.entry.zone,
+                "callers": "",
+                "ready": True,
+                "leaving": False,
+                "sequence": sequence,
+                "offsets": {TOPIC: END_OFFSET},
+                "store_age_ms": 0,
+            }
+            self.peers._received(msgpack.packb(body))
+
+    def pass_fetch_delay(self):
+        """Delivers heartbeats until the missing records are due."""
+        self.deliver_heartbeats()
+        self.clock.set_ms(self.clock.now_ms() + comparison.FETCH_AFTER_MS)
+        self.deliver_heartbeats()
+
+    async def _serve(self, reader, writer):
+        self.open += 1
+        self.requests += 1
+        self.most = max(self.most, self.open)
+        try:
+            await frames.read(reader)
+            await self.may_answer.wait()
+            for start in range(0, len(ANSWER), CHUNK_BYTES):
+                writer.write(ANSWER[start : start + CHUNK_BYTES])
+                await writer.drain()
+                await asyncio.sleep(CHUNK_INTERVAL_S)
+        except (OSError, frames.FrameError):
+            pass
+        finally:
+            self.open -= 1
+            writer.close()
+
+
+@contextlib.asynccontextmanager
+async def started_zone(size):
+    zone = Zone()
+    await zone.start(size)
+    try:
+        yield zone
+    finally:
+        await zone.close()
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt")
+async def test_one_peer_at_a_time_sends_missing_records():
+    """The answers of all peers at once would block a slow link for seconds."""
+    async with started_zone(12) as zone:
+        zone.pass_fetch_delay()
+        await parts.wait_until(lambda: zone.requests)
+        for _ in range(5):
+            zone.pass_fetch_delay()
+            await asyncio.sleep(0.02)
+        assert zone.most == 1
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt")
+async def test_records_arrive_over_a_link_that_needs_long_for_them():
+    """A limit on the whole transfer would make each attempt fail again."""
+    async with started_zone(1) as zone, asyncio.timeout(10):
+        zone.may_answer.set()
+        while zone.feed.offset < END_OFFSET:
+            zone.pass_fetch_delay()
+            await asyncio.sleep(0.1)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -34,16 +34,44 @@
     async def handle(request):
         return web.Response(status=status, body=body)
 
+    async with running_handler(handle, 2_000) as store_client:
+        yield store_client
+
+
+@contextlib.asynccontextmanager
+async def running_handler(handle, timeout_ms):
+    """Runs a server that answers every call with the given handler."""
     app, listener = web.Application(), server.HttpServer()
     app.router.add_route("*", "/{path:.*}", handle)
     address = await listener.start(app, "127.0.0.1", 0)
-    store_client = store.HttpStore(address, 1, 2_000)
+    store_client = store.HttpStore(address, 1, timeout_ms)
     await store_client.start()
     yield store_client
     await store_client.close()
     await listener.close()
 
 
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt")
+async def test_answer_may_take_longer_than_the_timeout_while_it_arrives():
+    """A slow link could otherwise never bring a large configuration."""
+    record = b"\x01k" + bytes(100_000)
+    body = b"".join(
+        (struct.pack(">QQ", 1, 0), struct.pack(">I", len(record)), record)
+    )
+
+    async def handle(request):
+        response = web.StreamResponse()
+        await response.prepare(request)
+        for start in range(0, len(body), 2_000):
+            await response.write(body[start : start + 2_000])
+            await asyncio.sleep(0.02)
+        return response
+
+    async with running_handler(handle, timeout_ms=500) as store_client:
+        page = await store_client.read(CONFIGURATION, 0, 0)
+    assert len(page.records[0].value) == 100_000
+
+
 async def test_records_round_trip():
     """A wrong offset or key would mix up records of the topic."""
     async with client() as (_, store_client):
