End attempts whose worker sends only framing

Cause: bytes that are no answer may come without end. aiohttp limits lines and headers, but its parser accepts empty lines, interim responses, chunk sizes and chunk extensions for ever, so a gateway spent its processor on them until the deadline of the request: 541 MB of a chunk extension within 3 s on loopback.

Change: a response may take 64 KB and 16 times the bytes of its body; beyond that the attempt fails and the connection is closed.

A stream of 20,000 chunks of one byte still passes.

--- a/oleanderbay/gateway/worker_connection.py
+++ b/oleanderbay/gateway/worker_connection.py
@@ -14,6 +14,10 @@
 
 # Ends the head of a response, and the last chunk of its body.
 DOUBLE_CRLF = b"\r\n\r\n"
+# Bytes of a response that belong to no body: heads, interim responses and the
+# frames of chunks. A small chunk takes several times the size of its data.
+MAX_FRAMING_BYTES = 65_536
+MAX_FRAMING_FACTOR = 16
 # Statuses without a body, whose end does not depend on a length or on chunks.
 BODILESS_STATUSES = (204, 304)
 # Upper bound for a worker's Keep-Alive timeout: middleboxes on the path may
@@ -55,6 +59,7 @@
         self.advertised_idle_ms: int | None = None
         self.on_unusable: Callable[[WorkerConnection], None] | None = None
         self._body: aiohttp.StreamReader | None = None
+        self._response_bytes = 0
         # The last bytes received, to find an end of the head or of the last
         # chunk that is split between two reads.
         self._last_bytes = b""
@@ -110,6 +115,7 @@
         self.reused, self.received_data = True, False
         self.advertised_idle_ms = None
         self._body, self._last_bytes, self._chunked = None, b"", False
+        self._response_bytes = 0
         self.transport.get_extra_info("socket").setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ack_timeout_ms
         )
@@ -117,6 +123,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses a response; bytes after its end make it not reusable."""
         self.received_data = True
+        self._response_bytes += len(data)
         while self._body is None:
             position = (self._last_bytes + data).find(DOUBLE_CRLF)
             end = position + len(DOUBLE_CRLF) - len(self._last_bytes)
@@ -131,6 +138,19 @@
             self._parse_body(data)
         if self.response_complete:
             self.response_end_ms = self.clock.now_ms()
+        elif self._exceeds_framing_limit():
+            # The parser accepts such bytes without end.
+            self.set_exception(
+                aiohttp.ClientPayloadError("the answer is mostly framing")
+            )
+            if self.transport is not None:
+                self.transport.abort()
+
+    def _exceeds_framing_limit(self) -> bool:
+        body_bytes = self._body.total_bytes if self._body is not None else 0
+        return self._response_bytes > (
+            MAX_FRAMING_BYTES + MAX_FRAMING_FACTOR * body_bytes
+        )
 
     def _parse_body(self, data: bytes) -> None:
         """Parses a part of the body and detects bytes after its end.
--- a/tests/gateway/test_worker_client.py
+++ b/tests/gateway/test_worker_client.py
@@ -37,7 +37,9 @@
         server.close()
 
 
-async def exchange(response, step=0, read=True, reset=False, target="/a"):
+async def exchange(
+    response, step=0, read=True, reset=False, target="/a", max_bytes=1_000
+):
     """Returns the request that was sent, and the response or the error."""
     sent = bytearray()
 
@@ -73,7 +75,7 @@
             received = await client.send_request(
                 worker, caller_request, caller_request.headers, 5_000
             )
-            result = received.status, await received.read_all(5_000, 1_000)
+            result = received.status, await received.read_all(5_000, max_bytes)
             received.close()
         except worker_client.AttemptError as error:
             result = error
@@ -169,3 +171,64 @@
                 worker, caller_request, caller_request.headers, 5_000
             )
     assert failed.value.may_have_arrived and request_count == 1
+
+
+CHUNKED_HEAD = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "endless"),
+    [
+        (b"", b"\r\n" * 4_096),
+        (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 256),
+        (OK, b"A: b\r\n" * 1_024),
+        (b"", b"\0\xff" * 4_096),
+        (CHUNKED_HEAD + b"1;", b"a" * 8_192),
+        (CHUNKED_HEAD, b"0" * 8_192),
+        (CHUNKED_HEAD + b"0\r\n", b"A: b\r\n" * 1_024),
+    ],
+    ids=(
+        "empty lines",
+        "interim responses",
+        "headers",
+        "garbage",
+        "chunk extension",
+        "chunk size",
+        "trailers",
+    ),
+)
+async def test_endless_bytes_that_are_no_answer_end_the_attempt(start, endless):
+    """Parsing them until the deadline would use up the processor."""
+    closed = asyncio.Event()
+
+    async def serve(reader, writer):
+        with contextlib.suppress(OSError):
+            writer.write(start)
+            while True:
+                writer.write(endless)
+                await writer.drain()
+                await asyncio.sleep(0)
+        closed.set()
+        writer.close()
+
+    request = interfaces.CallerRequest(
+        id="c", method="GET", host="api", target="/", headers=HEADERS
+    )
+    async with running_worker(serve) as (client, worker):
+        with pytest.raises(worker_client.AttemptError) as failed:
+            response = await client.send_request(
+                worker, request, HEADERS.copy(), 20_000
+            )
+            await response.read_all(20_000, 1 << 20)
+        assert failed.value.may_have_arrived and not failed.value.timed_out
+        await parts.wait_until(closed.is_set)
+
+
+async def test_answer_in_small_chunks_is_not_limited():
+    """Streams may send each event in a chunk of its own."""
+    events = 20_000
+    _, (status, body) = await exchange(
+        CHUNKED_HEAD + b"1\r\na\r\n" * events + b"0\r\n\r\n",
+        max_bytes=events,
+    )
+    assert (status, len(body)) == (200, events)
