Limit the size of reports and of answers to orders

Cause: the body of a worker's report or of its answer to an order was read without a limit of its size, so a worker that sends bytes without end could use up the gateway's memory within the 400 to 600 ms of such a call.

Change: bodies of over 64 KB are given up; a report takes about 1 KB.

--- a/oleanderbay/platform/orders.py
+++ b/oleanderbay/platform/orders.py
@@ -20,6 +20,9 @@
     503: interfaces.OrderResult.REFUSED,
 }
 
+# A report takes about 1 KB.
+MAX_BODY_BYTES = 65_536
+
 
 class HttpOrders:
     """Sends orders to workers and reads their reports over HTTP.
@@ -135,7 +138,7 @@
                 headers={names.EXPECTED_WORKER: worker.id},
                 timeout=self._timeout(timeout_ms),
             ) as response:
-                body = await response.read()
+                body = await _read(response)
                 if response.status != 200:
                     return RESULT_BY_STATUS.get(
                         response.status, interfaces.OrderResult.UNKNOWN
@@ -163,7 +166,7 @@
                 },
                 timeout=self._timeout(self.timeout_ms),
             ) as response:
-                await response.read()
+                await _read(response)
                 return RESULT_BY_STATUS.get(
                     response.status, interfaces.OrderResult.UNKNOWN
                 )
@@ -177,3 +180,18 @@
             total=total_ms / 1000,
             sock_connect=self.connect_timeout_ms / 1000,
         )
+
+
+async def _read(response: aiohttp.ClientResponse) -> bytes:
+    """Returns the body of a response.
+
+    Raises:
+        aiohttp.ClientPayloadError: The body is too large or was cut off.
+    """
+    body = bytearray()
+    while part := await response.content.readany():
+        body += part
+        if len(body) > MAX_BODY_BYTES:
+            response.close()
+            raise aiohttp.ClientPayloadError("the body is too large")
+    return bytes(body)
