Do not fetch records that the next read returns

Cause: a feed counted as unanswered from 500 ms after the store's last answer, while the workers' topic is read every 504 ms or more.

Change: a feed counts as answered until the answers are further apart than its scheduled reads allow (Feed.gap_ms).

--- a/oleanderbay/gateway/comparison.py
+++ b/oleanderbay/gateway/comparison.py
@@ -155,5 +155,5 @@
 
 def _fetch_delay_ms(own_feed: feed.Feed) -> int:
     # While the store answers, wait for the next scheduled read as well.
-    answered = own_feed.age_ms() < 2 * FETCH_AFTER_MS + own_feed.wait_ms
+    answered = own_feed.age_ms() <= own_feed.gap_ms()
     return FETCH_AFTER_MS + answered * own_feed.interval_ms
--- a/tests/gateway/test_comparison.py
+++ b/tests/gateway/test_comparison.py
@@ -5,9 +5,11 @@
 
 import structlog
 
-from oleanderbay.gateway import comparison
+from oleanderbay.gateway import comparison, feed, interfaces
 from oleanderbay.process import clock as clocks
-from tests.gateway import network
+from tests.gateway import network, parts
+
+READ_INTERVAL_MS = 500
 
 
 def fetch_times(relaying, own_zone_offset):
@@ -58,7 +60,8 @@
         tracker.topics_to_fetch({"workers": offset})
         return tracker.behind_ms("workers")
 
-    own_feed.age_ms.return_value = own_feed.interval_ms = own_feed.wait_ms = 0
+    own_feed.interval_ms = 0
+    own_feed.age_ms.return_value = own_feed.gap_ms.return_value = 0
     with structlog.testing.capture_logs() as logs:
         assert [hear(4, 0), hear(5, 100), hear(6, 900)] == [0, 0, 800]
         assert not logs
@@ -76,10 +79,42 @@
 def test_peer_with_a_part_of_the_missing_records_is_used():
     """The only gateway that had all of them may be down by now."""
     clock, own_feed = clocks.ManualClock(), mock.Mock(offset=4)
-    own_feed.age_ms.return_value = own_feed.interval_ms = own_feed.wait_ms = 0
+    own_feed.interval_ms = 0
+    own_feed.age_ms.return_value = own_feed.gap_ms.return_value = 0
     tracker = comparison.OffsetComparison(clock, {"workers": own_feed})
     assert not tracker.topics_to_fetch({"workers": 9})
     clock.set_ms(comparison.FETCH_AFTER_MS)
     assert not tracker.topics_to_fetch({"workers": 4})
     assert tracker.topics_to_fetch({"workers": 6}) == ["workers"]
     assert not tracker.topics_to_fetch({"workers": 9})
+
+
+def test_records_that_the_next_read_returns_are_not_fetched():
+    """Gateways that read the store would otherwise get most records twice."""
+    clock = clocks.ManualClock()
+    own_feed = feed.Feed(
+        parts.Store(),
+        interfaces.Topic.WORKERS,
+        clock,
+        lambda record: None,
+        0,
+        READ_INTERVAL_MS,
+    )
+    tracker = comparison.OffsetComparison(clock, {"workers": own_feed})
+    fetched = []
+    # A read takes 10 ms, so answers are a little further apart than reads.
+    for now_ms in range(0, 10_200, 10):
+        clock.set_ms(now_ms)
+        reads, since_read_ms = divmod(now_ms, READ_INTERVAL_MS + 10)
+        if since_read_ms == 0:
+            own_feed.apply_from_reader(
+                interfaces.Page((), reads), False, now_ms
+            )
+        fetched += tracker.topics_to_fetch({"workers": reads + 1})
+    assert not fetched
+    # Reads end, as the store refuses this gateway.
+    for _ in range(200):
+        now_ms += 10
+        clock.set_ms(now_ms)
+        fetched += tracker.topics_to_fetch({"workers": reads + 1})
+    assert fetched
