Mend three comments of the fetches

Cause: two comments still described the delay as counting per peer, and one gave the size of a report that had not been measured.

Change: comments only.

Measured: formatter and linter pass.

--- a/oleanderbay/gateway/comparison.py
+++ b/oleanderbay/gateway/comparison.py
@@ -8,7 +8,7 @@
 from oleanderbay.gateway import feed, membership
 from oleanderbay.process import clock as clocks
 
-# Records are fetched from a peer only after its offset has been ahead for this
+# Records are fetched from a peer only after an offset has been missing for this
 # long, since the next read of the store usually returns them before.
 FETCH_AFTER_MS = 250
 # Gateways that are not relays wait this many times as long before they fetch
@@ -29,8 +29,8 @@
     Attributes:
         offset: The offset.
         since_ms: Monotonic time since which it is known to be missing.
-        waiting_since_ms: Monotonic time since which the own feed has had the
-            chance to get it from the store or by the last fetch.
+        waiting_since_ms: Monotonic time from which the delay of the next
+            fetch counts.
         logged: Whether the feed has been logged as behind.
     """
 
--- a/oleanderbay/platform/orders.py
+++ b/oleanderbay/platform/orders.py
@@ -20,7 +20,7 @@
     503: interfaces.OrderResult.REFUSED,
 }
 
-# A report takes about 1 KB.
+# A worker's report holds a few short fields.
 MAX_BODY_BYTES = 65_536
 
 
