--- a/oleanderbay/connection/frames.py
+++ b/oleanderbay/connection/frames.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import struct
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgpack
@@ -17,6 +18,11 @@
 MAX_KIND_LENGTH = 64
 _LENGTH = struct.Struct(">I")
 
+# Opens a connection to a host.
+Connect = Callable[
+    [str], Awaitable[tuple[asyncio.StreamReader, asyncio.StreamWriter]]
+]
+
 
 class FrameError(Exception):
     """A frame that can't be sent or read; the connection is unusable."""
--- a/oleanderbay/gateway/fetching.py
+++ b/oleanderbay/gateway/fetching.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Mapping
 
 import structlog
 
@@ -26,10 +26,6 @@
 
 log = structlog.get_logger()
 
-Connect = Callable[
-    [str], Awaitable[tuple[asyncio.StreamReader, asyncio.StreamWriter]]
-]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Fetch:
@@ -59,7 +55,7 @@
         self,
         feeds: Mapping[str, feed.Feed],
         clock: clocks.Clock,
-        connect: Connect,
+        connect: frames.Connect,
         telemetry: telemetry_module.Telemetry = telemetry_module.DISABLED,
     ) -> None:
         self.feeds = feeds
--- a/oleanderbay/gateway/shared_reads.py
+++ b/oleanderbay/gateway/shared_reads.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import msgpack
@@ -32,10 +32,6 @@
 
 log = structlog.get_logger()
 
-Connect = Callable[
-    [str], Awaitable[tuple[asyncio.StreamReader, asyncio.StreamWriter]]
-]
-
 
 class ReaderElection:
     """Elects the reader among the gateways of the zone.
@@ -238,7 +234,7 @@
         peer: membership.Peer,
         workers_feed: feed.Feed,
         clock: clocks.Clock,
-        connect: Connect,
+        connect: frames.Connect,
     ) -> None:
         self.peer = peer
         self.workers_feed = workers_feed
@@ -336,7 +332,7 @@
         workers_feed: feed.Feed,
         election: ReaderElection,
         clock: clocks.Clock,
-        connect: Connect,
+        connect: frames.Connect,
         silence_ms: int,
     ) -> None:
         self.workers_feed = workers_feed
