--- a/oleanderbay/standins/group_worker.py
+++ b/oleanderbay/standins/group_worker.py
@@ -67,6 +67,8 @@
         abandoned: Requests whose connection ended before the answer did.
         orders: Orders that were received, with the status given.
         events: Number of events in a stream.
+        crashing_part: Id of a prompt's part; a request with it ends all
+            requests of the worker once its answer begins. Empty for none.
         at_fault: Member that the head names in a 503; empty for none.
         hold_after: Event after which streams wait for `released`.
         changed: Called after each change of the record.
@@ -95,6 +97,7 @@
         self.abandoned = 0
         self.orders: list[tuple[dict[str, Any], int]] = []
         self.events = 5
+        self.crashing_part = ""
         self.at_fault = ""
         self.hold_after = -1
         self.released = asyncio.Event()
@@ -105,6 +108,7 @@
         self.staged: list[str] = []
         self._fence = 0
         self._epoch = 0
+        self._open: list[web.Request] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._server = server.HttpServer(cancels=True)
 
@@ -248,11 +252,14 @@
                 port=self._port(request),
             )
         )
+        self._open.append(request)
         try:
             return await self._answer(request, body)
         except (asyncio.CancelledError, ConnectionError):
             self.abandoned += 1
             raise
+        finally:
+            self._open.remove(request)
 
     async def _answer(
         self, request: web.Request, body: bytes
@@ -296,6 +303,13 @@
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
+        prompt = request.headers.get(names.PROMPT_PREFIX, "")
+        if self.crashing_part and f"{self.crashing_part}:" in prompt:
+            # Lets the head reach the reader before the reset drops it.
+            await self.clock.sleep_ms(20)
+            for other in tuple(self._open):
+                self._reset(other)
+            return self._reset(request)
         first = int(request.headers.get(names.LAST_EVENT_ID, "-1")) + 1
         for number in range(first, self.events):
             data = f"id: {number}\ndata: {number}\n\n".encode()
--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -80,6 +80,22 @@
         for number, host in enumerate(HOSTS):
             await self._start_gateway(stack, f"g{number}", host, port)
 
+    async def restart_gateways(self, stack):
+        """Replaces all gateways by new ones, which know nothing."""
+        stopped, self.gateways = self.gateways, []
+        for gateway in stopped:
+            await gateway.stop()
+        for gateway in stopped:
+            identity, port = gateway.config.entry, gateway.config.peers.port
+            await self._start_gateway(stack, identity.id, identity.host, port)
+        await self.wait_for_groups()
+
+    async def wait_for_groups(self):
+        for gateway in self.gateways:
+            await parts.wait_until(
+                lambda g=gateway: len(self.open_groups(g)) >= 2 and g.peers.live
+            )
+
     async def _start_gateway(self, stack, name, host, port):
         config = settings.Settings(
             entry=settings.EntrySettings(id=name, zone="z1", host=host),
@@ -127,13 +143,14 @@
     def open_groups(self, gateway):
         return [g for g in gateway.status()["groups"] if g["open"]]
 
-    async def call(self, gateway, path, first_data=None):
+    async def call(self, gateway, path, first_data=None, prompt=""):
         async with self.session.post(
             f"http://{gateway.config.listeners.callers}{path}",
             headers={
                 "Host": "api",
                 names.REQUEST_ID: "r1",
                 names.MODEL: "small",
+                names.PROMPT_PREFIX: prompt,
             },
             data=b"prompt",
         ) as response:
@@ -150,12 +167,7 @@
     async with contextlib.AsyncExitStack() as stack:
         started = Site()
         await started.start(stack)
-        for gateway in started.gateways:
-            await parts.wait_until(
-                lambda g=gateway: (
-                    len(started.open_groups(g)) >= 2 and g.peers.live
-                )
-            )
+        await started.wait_for_groups()
         yield started
 
 
@@ -214,6 +226,35 @@
     assert await site.call(first, "/stream/a") == (200, STREAM)
 
 
+# Incident inc1: gateways sent what had crashed workers before other gateways,
+# which includes what these knew before all of them were restarted.
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 27")
+async def test_a_part_that_crashes_workers_is_refused_by_all_gateways(site):
+    def arrivals():
+        return sum(len(worker.executions) for worker in site.workers)
+
+    async def send_bad(gateway):
+        prompt = f"first:9,bad:9,own{arrivals()}:9"
+        with contextlib.suppress(aiohttp.ClientError):
+            return (await site.call(gateway, "/stream/a", prompt=prompt))[0]
+
+    async with contextlib.AsyncExitStack() as stack:
+        for worker in site.workers:
+            worker.crashing_part = "bad"
+        for number in range(3):
+            await send_bad(site.gateways[number % 2])
+        await asyncio.sleep(1)
+        reached = arrivals()
+        for gateway in site.gateways:
+            assert await send_bad(gateway) == 503
+        await site.restart_gateways(stack)
+        for gateway in site.gateways:
+            assert await send_bad(gateway) == 503
+            sound = await site.call(gateway, "/stream/a", prompt="first:9,o:9")
+            assert sound == (200, STREAM)
+        assert arrivals() == reached + len(site.gateways)
+
+
 async def test_a_caller_without_chunked_encoding_sees_a_broken_stream(site):
     """A regular close would look like the end of the stream, so it is reset."""
     for worker in site.workers:
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -95,6 +95,10 @@
     async def call(self, target="/whole", caller=None, **changes):
         caller = caller or Caller()
         headers = multidict.CIMultiDict({names.REQUEST_ID: "r1"})
+        parts_with_own = (*changes.get("shared_parts", ()), "own")
+        headers[names.PROMPT_PREFIX] = ",".join(
+            f"{part}:9" for part in parts_with_own
+        )
         fields = {"body": b"body", "timeout_ms": 0, **changes}
         refusal = await self.pipeline.run(
             interfaces.CallerRequest(
@@ -223,6 +227,23 @@
             assert second.headers[names.LAST_EVENT_ID.lower()] == resumed
 
 
+# Incident inc1: requests with one part of a prompt crashed worker after worker.
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 27")
+async def test_a_part_that_crashes_workers_stops_reaching_them():
+    async with running_pipeline(12, max_attempts=2, **STREAMING) as harness:
+        for worker in harness.workers:
+            worker.crashing_part = "bad"
+        callers = [
+            await harness.call("/stream", shared_parts=("first", "bad"))
+            for _ in range(10)
+        ]
+        # The rule allows three requests after the fifth crash.
+        assert harness.runs <= 8
+        assert callers[-1].status == 503
+        sound = await harness.call("/stream", shared_parts=("first", "good"))
+        assert sound.complete and sound.body == STREAM
+
+
 async def test_a_silent_stream_resumes_at_another_worker():
     """A group that lost a member accepts requests but sends no events."""
     async with running_pipeline(**STREAMING) as harness:
