Keep to the rates that workers state as their limit

The cause is that gateways passed the header on without reading it, and have limits for slots, cold starts and retries only.

Gateways now read the limit from each answer, exchange the newest statement of each worker in their heartbeats, and select a limited worker only with a token for it. An answer without the header ends the limit everywhere, through the heartbeats also at gateways that send nothing.

--- a/bench/admission_sites.py
+++ b/bench/admission_sites.py
@@ -23,6 +23,7 @@
     selection,
     state,
     table,
+    worker_limits,
     workers,
 )
 from oleanderbay.process import clock as clocks
@@ -134,6 +135,7 @@
             health.HealthTracker(self.clock),
             self.loads,
             budget.ColdStartBudget(self.clock, lambda: 1, lambda _: 0),
+            worker_limits.WorkerLimits(self.clock, lambda: 1, lambda _: 0),
             self.rng,
             "",
         )
--- a/bench/choosing.py
+++ b/bench/choosing.py
@@ -22,6 +22,7 @@
     selection,
     state,
     table,
+    worker_limits,
     workers,
 )
 from oleanderbay.process import clock as clocks
@@ -84,6 +85,7 @@
             health.HealthTracker(clock),
             self.loads,
             budget.ColdStartBudget(clock, lambda: 1, lambda _: 0),
+            worker_limits.WorkerLimits(clock, lambda: 1, lambda _: 0),
             rng,
             zone,
         )
--- a/oleanderbay/gateway/attempt.py
+++ b/oleanderbay/gateway/attempt.py
@@ -13,6 +13,7 @@
     selection,
     table,
     worker_client,
+    worker_limits,
     workers,
 )
 from oleanderbay.gateway import telemetry as telemetry_module
@@ -97,6 +98,7 @@
     worker_health: health.HealthTracker
     retry_budget: budget.RetryBudget
     prompt_quarantine: quarantine.PromptQuarantine
+    limits: worker_limits.WorkerLimits
     client: worker_client.WorkerClient
     translator: interfaces.Translator
     clock: clocks.Clock
@@ -291,6 +293,14 @@
             worker_response.status,
             worker_response.headers,
         )
+        if response_class not in (
+            interfaces.ResponseClass.OTHER_WORKER,
+            interfaces.ResponseClass.UNUSABLE,
+        ):
+            deps.limits.record_statement(
+                worker.id,
+                deps.translator.stated_limit_per_s(worker_response.headers),
+            )
         if response_class is interfaces.ResponseClass.NOT_RUN:
             return response.FailedAttempt(
                 "the worker refused",
--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -32,6 +32,7 @@
     shared_reads,
     state,
     worker_client,
+    worker_limits,
 )
 from oleanderbay.gateway import settings as settings_module
 from oleanderbay.gateway import telemetry as telemetry_module
@@ -130,6 +131,9 @@
         self.quarantine_records = quarantine_records.QuarantineRecords(
             store, self.clock, self.quarantine
         )
+        self.worker_limits = worker_limits.WorkerLimits(
+            self.clock, self.peers.gateway_count, self.peers.rank
+        )
         self.selector = selection.WorkerSelector(
             self.gateway_state,
             self.worker_health,
@@ -137,6 +141,7 @@
             budget.ColdStartBudget(
                 self.clock, self.peers.gateway_count, self.peers.rank
             ),
+            self.worker_limits,
             self.rng,
             config.entry.zone,
         )
@@ -195,6 +200,7 @@
                 worker_health=self.worker_health,
                 retry_budget=self.retry_budget,
                 prompt_quarantine=self.quarantine,
+                limits=self.worker_limits,
                 client=self.worker_client,
                 translator=translator,
                 clock=self.clock,
@@ -314,6 +320,7 @@
             "lost": sorted(self.worker_health.lost),
             "suspects": sorted(self.worker_health.suspected_workers()),
             "quarantined": self.quarantine.held_parts(),
+            "limits": self.worker_limits.stated(),
             "groups": [
                 {
                     "name": group.name,
@@ -399,6 +406,7 @@
             "planned": self.group_controller.capacity.planned_groups(),
             "serving": self.demand.has_traffic,
             **self.quarantine.report(),
+            "limits": self.worker_limits.report(),
         }
 
     def _apply_contents(self, source: str, body: Mapping[str, Any]) -> None:
@@ -414,10 +422,11 @@
         self.group_controller.capacity.update_peer(
             source, int(body["loads_begun"]), dict(body["planned"])
         )
-        # Gateways of earlier versions don't report crashes.
+        # Gateways of earlier versions report neither crashes nor limits.
         self.quarantine.update_peer(
             dict(body.get("crashes", {})), dict(body.get("survived", {}))
         )
+        self.worker_limits.update_peer(dict(body.get("limits", {})))
         if body["serving"]:
             self.demand.has_traffic = True
 
--- a/oleanderbay/gateway/interfaces.py
+++ b/oleanderbay/gateway/interfaces.py
@@ -374,6 +374,14 @@
         """Returns the id of the worker that failed; empty if not stated."""
         ...
 
+    def stated_limit_per_s(self, headers: Mapping[str, str]) -> float | None:
+        """Returns the rate of requests that a worker states as its limit.
+
+        The limit applies to the requests of all gateways together; None if
+        the response states none.
+        """
+        ...
+
     def response_headers(
         self, headers: "multidict.CIMultiDictProxy[str]"
     ) -> multidict.CIMultiDict[str]:
--- a/oleanderbay/gateway/selection.py
+++ b/oleanderbay/gateway/selection.py
@@ -11,6 +11,7 @@
     request_load,
     state,
     table,
+    worker_limits,
     workers,
 )
 
@@ -88,6 +89,7 @@
         worker_health: health.HealthTracker,
         loads: request_load.RequestLoad,
         cold_budget: budget.ColdStartBudget,
+        limits: worker_limits.WorkerLimits,
         rng: random.Random,
         zone: str,
     ) -> None:
@@ -95,6 +97,7 @@
         self.worker_health = worker_health
         self.loads = loads
         self.cold_budget = cold_budget
+        self.limits = limits
         self.rng = rng
         self.zone = zone
         self.sampling_threshold = SAMPLING_THRESHOLD
@@ -108,7 +111,7 @@
         tried: Collection[str],
         max_fill: float = 1.0,
     ) -> workers.Worker | NoWorker:
-        """Selects a worker, and counts the request if the worker is cold.
+        """Selects a worker, and counts the request if its rate is limited.
 
         Args:
             service: The service that the request goes to.
@@ -117,10 +120,10 @@
             max_fill: Load limit as a factor on each worker's capacity.
         """
         chosen = self.peek(service, model, tried, max_fill)
-        if isinstance(chosen, workers.Worker) and self.gateway_state.is_cold(
-            chosen
-        ):
-            self.cold_budget.record_request(chosen.id)
+        if isinstance(chosen, workers.Worker):
+            self.limits.record_request(chosen.id)
+            if self.gateway_state.is_cold(chosen):
+                self.cold_budget.record_request(chosen.id)
         return chosen
 
     def peek(
@@ -242,7 +245,7 @@
         slots = self._slots(service, worker)
         if self.loads.in_flight(worker.id) >= max_fill * slots * (
             1 + WORKER_QUEUE_SHARE
-        ):
+        ) or not self.limits.available(worker.id):
             return False
         return not self.gateway_state.is_cold(
             worker
--- a/oleanderbay/gateway/summaries.py
+++ b/oleanderbay/gateway/summaries.py
@@ -35,6 +35,7 @@
     "serving": False,
     "crashes": {},
     "survived": {},
+    "limits": {},
 }
 
 
@@ -196,6 +197,7 @@
         set
     )
     survived: dict[str, int] = {}
+    limits: dict[str, tuple[float | None, int]] = {}
     busy_gateways = loads_begun = 0
     serving = False
     for body in contents:
@@ -212,6 +214,9 @@
             crashes[part].update(incarnations)
         for part, age_ms in body.get("survived", {}).items():
             survived[part] = min(age_ms, survived.get(part, age_ms))
+        for worker_id, (per_s, age_ms) in body.get("limits", {}).items():
+            if worker_id not in limits or age_ms < limits[worker_id][1]:
+                limits[worker_id] = per_s, age_ms
         loads_begun += int(body["loads_begun"])
         serving = serving or bool(body["serving"])
     return {
@@ -226,6 +231,7 @@
         "serving": serving,
         "crashes": {part: sorted(crashes[part]) for part in crashes},
         "survived": survived,
+        "limits": limits,
     }
 
 
--- a/oleanderbay/platform/http_headers.py
+++ b/oleanderbay/platform/http_headers.py
@@ -1,5 +1,6 @@
 """Translates between HTTP messages and the platform's headers."""
 
+import math
 from collections.abc import Mapping
 
 import multidict
@@ -119,6 +120,14 @@
         """Returns the id of the worker that failed; empty if not stated."""
         return headers.get(names.FAILED_WORKER, "")
 
+    def stated_limit_per_s(self, headers: Mapping[str, str]) -> float | None:
+        """Returns the rate of requests that a worker states as its limit."""
+        try:
+            per_s = float(headers[names.RATE_LIMIT])
+        except (KeyError, ValueError):
+            return None
+        return per_s if math.isfinite(per_s) and per_s >= 0 else None
+
     def response_headers(
         self, headers: "multidict.CIMultiDictProxy[str]"
     ) -> multidict.CIMultiDict[str]:
--- a/tests/gateway/parts.py
+++ b/tests/gateway/parts.py
@@ -15,6 +15,7 @@
     state,
     table,
     worker_client,
+    worker_limits,
     workers,
 )
 from oleanderbay.process import clock as clocks
@@ -115,11 +116,15 @@
         self.cold_budget = budget.ColdStartBudget(
             self.clock, lambda: 1, lambda _: 0
         )
+        self.limits = worker_limits.WorkerLimits(
+            self.clock, lambda: 1, lambda _: 0
+        )
         self.selector = selection.WorkerSelector(
             self.state,
             self.worker_health,
             self.loads,
             self.cold_budget,
+            self.limits,
             random.Random(1),
             "z1",
         )
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -77,6 +77,7 @@
         }
         attempts = attempt.Dependencies(
             client=self.sender,
+            limits=self.gateway.limits,
             translator=http_headers.HeaderTranslator(),
             max_answer_bytes=1 << 20,
             max_event_bytes=1 << 10,
@@ -246,7 +247,6 @@
 
 
 # Rule LIMIT: a worker in need got all that fitted into its slots.
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 27")
 async def test_a_worker_gets_no_more_than_the_rate_that_it_states():
     async with running_pipeline() as harness:
         limited, other = harness.workers
--- a/tests/gateway/test_summaries.py
+++ b/tests/gateway/test_summaries.py
@@ -15,6 +15,7 @@
         "planned": {"m": 1},
         "crashes": {"p": ["w/1"]},
         "survived": {"q": 70},
+        "limits": {"w": (2.5, 70)},
     }
     two = {
         **one,
@@ -24,6 +25,7 @@
         "serving": True,
         "crashes": {"p": ["v/1", "w/1"]},
         "survived": {"q": 50},
+        "limits": {"w": (None, 50), "v": (1.0, 9)},
     }
     assert summaries.sum_contents([one, two, summaries.EMPTY_CONTENTS]) == {
         "in_flight": {"w": 5, "v": 1},
@@ -37,9 +39,19 @@
         "serving": True,
         "crashes": {"p": ["v/1", "w/1"]},
         "survived": {"q": 50},
+        "limits": {"w": (None, 50), "v": (1.0, 9)},
     }
 
 
+def test_a_summary_of_an_earlier_version_is_accepted():
+    """During an upgrade, zones would be cut off from each other."""
+    sums = dict(summaries.EMPTY_CONTENTS)
+    for added_later in ("crashes", "survived", "limits"):
+        del sums[added_later]
+    parsed = summaries.parse_summary({**summary("a").body(None), "sums": sums})
+    assert parsed.sums == summaries.EMPTY_CONTENTS
+
+
 def test_zone_counts_as_number_of_its_busy_gateways():
     """Counted as one gateway, a zone would seem to use nearly all slots."""
     loads = request_load.RequestLoad()
--- a/tests/gateway/test_telemetry.py
+++ b/tests/gateway/test_telemetry.py
@@ -111,6 +111,7 @@
         translator=mock.Mock(
             classify_response=lambda *_: interfaces.ResponseClass.SUCCESS
         ),
+        limits=mock.Mock(),
         max_answer_bytes=1,
         max_event_bytes=100,
         **shared,
--- a/tests/platform/test_http_headers.py
+++ b/tests/platform/test_http_headers.py
@@ -184,3 +184,13 @@
         {"X-Instance-Id": "w3", "X-Request-Id": "r1"}
     )
     assert (origin.worker_id, origin.request_id) == ("w3", "r1")
+
+
+@pytest.mark.parametrize(
+    ("value", "per_s"),
+    [("2.5", 2.5), ("0", 0.0), ("x", None), ("nan", None), ("-1", None)],
+)
+def test_only_a_rate_is_a_stated_limit(value, per_s):
+    """A malformed limit must not stop all requests to the worker."""
+    assert TRANSLATOR.stated_limit_per_s({"Server-Limit": value}) == per_s
+    assert TRANSLATOR.stated_limit_per_s({}) is None
