Treat a stream without length and events as broken off

A stream may have neither a length nor chunks and end with its connection. If its worker crashes before the first event and the connection ends without a reset, that looked like a complete stream: callers would get 200 with an empty body, and the crash would not count against the parts of the prompt. Such an attempt fails now, and another worker gets the request. A stream that goes on after the last event may still be empty.

test_a_stream_without_length_and_events_is_broken_off failed before (complete with an empty body) and passes.

--- a/oleanderbay/gateway/attempt.py
+++ b/oleanderbay/gateway/attempt.py
@@ -426,6 +426,11 @@
             raise event_stream.PartialEventError(
                 "the stream ends inside an event"
             )
+        # Only a stream that goes on after the last event may have none.
+        if not (
+            has_event or worker_response.framed or request.last_event_id >= 0
+        ):
+            raise event_stream.PartialEventError("the stream has no event")
         if not sink.started:
             await self._begin_response(worker_response, sink)
         deps.worker_health.record_success(worker.id)
--- a/oleanderbay/gateway/event_stream.py
+++ b/oleanderbay/gateway/event_stream.py
@@ -10,7 +10,7 @@
 
 
 class PartialEventError(EventStreamError):
-    """The stream ends inside an event."""
+    """The stream ends before an event is complete."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/oleanderbay/gateway/worker_client.py
+++ b/oleanderbay/gateway/worker_client.py
@@ -136,6 +136,8 @@
         status: HTTP status.
         headers: Headers of the response.
         reused: Whether the connection has carried an earlier response.
+        framed: Whether it has a length or chunks, rather than ending with its
+            connection.
     """
 
     def __init__(
@@ -144,6 +146,7 @@
         self.response = response
         self.pool = pool
         self.reused = response.tcp_connection.reused
+        self.framed = response.tcp_connection.framed
         self.complete = False
         self.status = response.status
         self.headers = response.headers
--- a/oleanderbay/gateway/worker_connection.py
+++ b/oleanderbay/gateway/worker_connection.py
@@ -40,6 +40,8 @@
         worker: The worker at the other end; None until it is known.
         reused: Whether the connection has carried an earlier response.
         received_data: Whether any byte of the current response has arrived.
+        framed: Whether the current response has a length or chunks, rather
+            than ending with its connection.
         response_end_ms: Monotonic time at which the last response ended.
         advertised_idle_ms: Idle timeout from the worker's Keep-Alive header;
             None if the worker sent none.
@@ -55,6 +57,7 @@
         self.worker: workers.Worker | None = None
         self.reused = False
         self.received_data = False
+        self.framed = True
         self.response_end_ms = 0
         self.advertised_idle_ms: int | None = None
         self.on_unusable: Callable[[WorkerConnection], None] | None = None
@@ -189,9 +192,11 @@
         self._body = body
         self._chunked = bool(message.chunked)
         headers = message.headers
-        framed = self._chunked or len(headers.getall("Content-Length", ())) == 1
+        self.framed = (
+            self._chunked or len(headers.getall("Content-Length", ())) == 1
+        )
         if (
-            not framed
+            not self.framed
             or message.code in BODILESS_STATUSES
             or message.version != (1, 1)
             or any(
--- a/oleanderbay/standins/group_worker.py
+++ b/oleanderbay/standins/group_worker.py
@@ -34,6 +34,8 @@
     "early_answer",
     "other_worker",
 )
+# Faults that only streams can have.
+STREAM_FAULTS = ("no_length_empty",)
 # Faults that happen before the request runs.
 NOT_RUN = ("refuse", "reset_before", "other_worker")
 
@@ -94,7 +96,7 @@
         self.born_ms = self.clock.wall_ms()
         self.address = ""
         self.draining = False
-        self.faults = dict.fromkeys(FAULTS, 0)
+        self.faults = dict.fromkeys((*FAULTS, *STREAM_FAULTS), 0)
         self.executions: list[Execution] = []
         self.abandoned = 0
         self.orders: list[tuple[dict[str, Any], int]] = []
@@ -305,6 +307,8 @@
         if self.spend("no_length_reset"):
             event = b"id: 0\ndata: 0\n\n"
             return await self._raw(request, headers, event, reset=True)
+        if self.spend("no_length_empty"):
+            return await self._raw(request, headers, b"")
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -265,6 +265,17 @@
         assert len(limited.executions) >= 15
 
 
+# A worker that crashes ends a stream without a length like one that is done.
+async def test_a_stream_without_length_and_events_is_broken_off():
+    async with running_pipeline(**STREAMING) as harness:
+        harness.workers[0].faults["no_length_empty"] = 1
+        caller = await harness.call("/stream")
+        assert caller.complete and caller.body == STREAM
+        for worker in harness.workers:
+            worker.faults["no_length_empty"] = 9
+        assert (await harness.call("/stream")).status == 502
+
+
 async def test_a_silent_stream_resumes_at_another_worker():
     """A group that lost a member accepts requests but sends no events."""
     async with running_pipeline(**STREAMING) as harness:
