--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -31,6 +31,7 @@
     selection,
     shared_reads,
     state,
+    summaries,
     worker_client,
     worker_limits,
 )
@@ -405,8 +406,12 @@
             "loads_begun": self.group_controller.capacity.recent_loads(),
             "planned": self.group_controller.capacity.planned_groups(),
             "serving": self.demand.has_traffic,
-            **self.quarantine.report(),
-            "limits": self.worker_limits.report(),
+            **summaries.drop_empty(
+                {
+                    **self.quarantine.report(),
+                    "limits": self.worker_limits.report(),
+                }
+            ),
         }
 
     def _apply_contents(self, source: str, body: Mapping[str, Any]) -> None:
@@ -422,7 +427,6 @@
         self.group_controller.capacity.update_peer(
             source, int(body["loads_begun"]), dict(body["planned"])
         )
-        # Gateways of earlier versions report neither crashes nor limits.
         self.quarantine.update_peer(
             dict(body.get("crashes", {})), dict(body.get("survived", {}))
         )
--- a/oleanderbay/gateway/summaries.py
+++ b/oleanderbay/gateway/summaries.py
@@ -139,7 +139,7 @@
         offsets={str(n): int(o) for n, o in dict(body["offsets"]).items()},
         digest=int(body["digest"]),
         sums={
-            # Relays of earlier versions lack some of the keys.
+            # Empty contents may be missing.
             key: type(empty)(sums.get(key, empty))
             for key, empty in EMPTY_CONTENTS.items()
         },
@@ -229,12 +229,24 @@
         "loads_begun": loads_begun,
         "planned": dict(planned),
         "serving": serving,
-        "crashes": {part: sorted(crashes[part]) for part in crashes},
-        "survived": survived,
-        "limits": limits,
+        **drop_empty(
+            {
+                "crashes": {part: sorted(crashes[part]) for part in crashes},
+                "survived": survived,
+                "limits": limits,
+            }
+        ),
     }
 
 
+def drop_empty(contents: Mapping[str, Any]) -> dict[str, Any]:
+    """Returns the contents that report anything.
+
+    Receivers take missing ones as empty, which keeps messages small.
+    """
+    return {key: value for key, value in contents.items() if value}
+
+
 @dataclasses.dataclass(slots=True)
 class ZoneView:
     """The state of another zone, from the summaries of its relays.
--- a/tests/gateway/network.py
+++ b/tests/gateway/network.py
@@ -86,7 +86,9 @@
 
     def _apply_contents(self, source, body):
         self.loads.update_peer(source, body["in_flight"], body["busy"])
-        self.quarantine.update_peer(body["crashes"], body["survived"])
+        self.quarantine.update_peer(
+            body.get("crashes", {}), body.get("survived", {})
+        )
 
     def leave(self):
         self.leaving = True
