--- a/oleanderbay/gateway/quarantine.py
+++ b/oleanderbay/gateway/quarantine.py
@@ -277,7 +277,7 @@
                 )
                 self._notify(parts, True)
         for parts in self._held.keys() - held.keys():
-            self._release(parts, "other parts explain the crashes")
+            self._release(parts, "the crashes no longer count against them")
 
     def _suspects(self) -> dict[frozenset[str], frozenset[str]]:
         """Returns the suspected parts by the crashes that count against them.
