--- a/oleanderbay/gateway/comparison.py
+++ b/oleanderbay/gateway/comparison.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from oleanderbay.gateway import feed, membership
+from oleanderbay.gateway import feed, membership, positions
 from oleanderbay.process import clock as clocks
 
 # Records are fetched from a peer only after an offset has been missing for this
@@ -133,7 +133,7 @@
                 log.info(
                     "caught up with peers",
                     topic=name,
-                    offset=own_offset,
+                    offset=positions.number_in_era(own_offset),
                     behind_ms=now_ms - missing.since_ms,
                 )
             missing = None
@@ -147,8 +147,10 @@
             log.warning(
                 "behind peers",
                 topic=name,
-                offset=own_offset,
-                missing=missing.offset,
+                offset=positions.number_in_era(own_offset),
+                era=positions.era_of(own_offset),
+                missing=positions.number_in_era(missing.offset),
+                missing_era=positions.era_of(missing.offset),
             )
         return missing
 
--- a/oleanderbay/gateway/domain_ownership.py
+++ b/oleanderbay/gateway/domain_ownership.py
@@ -3,7 +3,7 @@
 import structlog
 import xxhash
 
-from oleanderbay.gateway import interfaces
+from oleanderbay.gateway import interfaces, positions
 from oleanderbay.process import clock as clocks
 
 log = structlog.get_logger()
@@ -64,7 +64,12 @@
         if assignment.generation != self.generation:
             log.info(
                 "ownership",
-                generation=assignment.generation,
+                generation=positions.number_in_era(
+                    assignment.generation, positions.GENERATION_BITS
+                ),
+                era=positions.era_of(
+                    assignment.generation, positions.GENERATION_BITS
+                ),
                 partitions=sorted(assignment.partitions),
             )
         self.generation = assignment.generation
--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -24,6 +24,7 @@
     listener,
     peers,
     pipeline,
+    positions,
     quarantine,
     quarantine_records,
     queueing,
@@ -90,6 +91,7 @@
                 self.gateway_state.apply_configuration,
                 config.store.wait_ms,
                 0,
+                self.gateway_state.is_outdated_configuration,
             ),
             "workers": feed.Feed(
                 store,
@@ -98,6 +100,8 @@
                 self.gateway_state.apply_worker,
                 0,
                 config.store.worker_interval_ms,
+                self.gateway_state.is_outdated_worker,
+                keeps_dropped=True,
             ),
         }
         self.peers = peers.Peers(
@@ -130,7 +134,7 @@
             self.clock, config.limits.quarantine_ms
         )
         self.quarantine_records = quarantine_records.QuarantineRecords(
-            store, self.clock, self.quarantine
+            store, self.clock, self.quarantine, self.rng
         )
         self.worker_limits = worker_limits.WorkerLimits(
             self.clock, self.peers.gateway_count, self.peers.rank
@@ -316,7 +320,9 @@
             "evacuated": sorted(self.gateway_state.evacuated_zones),
             "workers": len(self.gateway_state.workers),
             "skipped_records": self.gateway_state.skipped_records,
-            "generation": self.domain_ownership.generation,
+            "generation": positions.number_in_era(
+                self.domain_ownership.generation, positions.GENERATION_BITS
+            ),
             "partitions": sorted(self.domain_ownership.partitions),
             "lost": sorted(self.worker_health.lost),
             "suspects": sorted(self.worker_health.suspected_workers()),
@@ -437,19 +443,22 @@
     async def _exchange_addresses(self) -> None:
         """Writes the own address to the store and reads those of peers."""
         body = {"host": self.config.entry.host}
+        value = json.dumps(body).encode()
         written = False
         while True:
             try:
                 if not written:
                     await self.store.put(
-                        interfaces.Topic.GATEWAYS,
-                        self.config.entry.id,
-                        json.dumps(body).encode(),
+                        interfaces.Topic.GATEWAYS, self.config.entry.id, value
                     )
-                    written = True
                 page = await self.store.newest(interfaces.Topic.GATEWAYS)
                 for record in page.records:
                     self._add_address(record)
+                # A restored store may lack the own record.
+                written = any(
+                    (record.key, record.value) == (self.config.entry.id, value)
+                    for record in page.records
+                )
             except interfaces.StoreError as error:
                 log.info("addresses not read", error=str(error))
                 await self.clock.sleep_ms(RETRY_DELAY_MS)
@@ -458,7 +467,7 @@
             # topic is read again soon until it names a peer.
             await self.clock.sleep_ms(
                 ADDRESS_REFRESH_MS
-                if len(self.peers.addresses) > 1
+                if written and len(self.peers.addresses) > 1
                 else RETRY_DELAY_MS
             )
 
--- a/oleanderbay/gateway/feed.py
+++ b/oleanderbay/gateway/feed.py
@@ -1,10 +1,11 @@
 """A local copy of one keyed topic of the metadata store."""
 
+import dataclasses
 from collections.abc import Awaitable, Callable, Iterable
 
 import structlog
 
-from oleanderbay.gateway import interfaces
+from oleanderbay.gateway import interfaces, positions
 from oleanderbay.process import clock as clocks
 
 # Delay after a failed call to the store. The store charges for refused calls
@@ -14,10 +15,25 @@
 # time between reads, count as interrupted.
 GAP_MS = 700
 
+# After a restoration of the store, records that its copy lacks stay for this
+# long. Their writers have written them again about 2 s after its return.
+SETTLE_MS = 3_000
+
 log = structlog.get_logger()
 
 # Applies a new record; returns True if it repeats the previous one of its key.
 RecordHandler = Callable[[interfaces.KeyedRecord], bool | None]
+# Returns True if the second record, which a restored store gave out, is older
+# than the first one, which is from before the restoration.
+RecordComparison = Callable[
+    [interfaces.KeyedRecord, interfaces.KeyedRecord], bool
+]
+
+
+def _never_outdated(
+    _: interfaces.KeyedRecord, __: interfaces.KeyedRecord
+) -> bool:
+    return False
 
 
 async def _no_wait() -> None:
@@ -27,6 +43,10 @@
 class Feed:
     """Keeps the newest record of each key and passes on new records.
 
+    If the store is restored from an older copy, records that are newer than
+    those of the copy are kept. Keys that the copy lacks are dropped once their
+    writers have had time to write them again.
+
     Attributes:
         topic: The topic that is read.
         offset: Offset of the next record to read; -1 before the first answer.
@@ -40,10 +60,15 @@
         answered_reads: Number of successful reads by this gateway.
         complete_offset: Offset from which on all dropped keys are known; -1
             before the first read of the whole topic.
+        is_outdated: Compares records of a restored store with known ones.
+        keeps_dropped: Whether a dropped key that is in the copy of a restored
+            store stays dropped until it is written again.
         uninterrupted_since_ms: Monotonic time since which the store has
-            answered without a gap.
+            answered without a gap or a restoration.
         wait_for_turn: Returns once this gateway has to read the store itself.
         after_read: Called after each successful read by this gateway.
+        after_restoration: Called after the first whole read of a restored
+            store, with the known records that it lacks.
     """
 
     def __init__(
@@ -54,6 +79,8 @@
         apply_record: RecordHandler,
         wait_ms: int,
         interval_ms: int,
+        is_outdated: RecordComparison = _never_outdated,
+        keeps_dropped: bool = False,
     ) -> None:
         self.store = store
         self.topic = topic
@@ -61,6 +88,8 @@
         self.apply_record = apply_record
         self.wait_ms = wait_ms
         self.interval_ms = interval_ms
+        self.is_outdated = is_outdated
+        self.keeps_dropped = keeps_dropped
         self.offset = -1
         self.latest: dict[str, interfaces.KeyedRecord] = {}
         self.answered_ms = -1
@@ -71,8 +100,14 @@
         self.uninterrupted_since_ms = -1
         self.wait_for_turn: Callable[[], Awaitable[None]] = _no_wait
         self.after_read: Callable[[], None] = lambda: None
+        self.after_restoration: Callable[
+            [list[interfaces.KeyedRecord]], None
+        ] = lambda _: None
         self._failing = False
         self._changed_at: dict[str, int] = {}
+        # Monotonic time at which keys that a restored store lacks are dropped;
+        # -1 if there are none.
+        self._settled_ms = -1
 
     async def run(self) -> None:
         """Reads the topic repeatedly until cancelled."""
@@ -83,8 +118,8 @@
             more = False
             await self.wait_for_turn()
             try:
-                if whole:
-                    self.replace(await self.store.newest(self.topic))
+                if whole or not self.is_complete():
+                    self._replace_newer(await self.store.newest(self.topic))
                     whole = False
                 else:
                     page = await self.store.read(
@@ -115,6 +150,12 @@
             if self.interval_ms and not more:
                 await self.clock.sleep_ms(self.interval_ms)
 
+    def is_complete(self) -> bool:
+        """Whether the whole topic was read since the store's restoration."""
+        return self.complete_offset >= 0 and positions.era_of(
+            self.complete_offset
+        ) == positions.era_of(self.offset)
+
     def age_ms(self) -> int:
         """Returns the time since the store's last answer."""
         if self.answered_ms < 0:
@@ -155,6 +196,7 @@
             else:
                 self.merge(page.records, page.end_offset)
         self._record_answer(answered_ms)
+        self._drop_unconfirmed()
 
     def merge(
         self, records: Iterable[interfaces.KeyedRecord], end_offset: int
@@ -164,25 +206,54 @@
             known = self.latest.get(record.key)
             if known is not None and known.offset >= record.offset:
                 continue
+            if (
+                known is not None
+                and _is_restored(known, record)
+                and self.is_outdated(known, record)
+            ):
+                record = dataclasses.replace(record, value=known.value)
             self._apply(record)
         self.offset = max(self.offset, end_offset)
 
     def replace(self, page: interfaces.Page) -> None:
         """Applies the whole topic and drops the keys that it lacks."""
+        era = positions.era_of(page.end_offset)
+        restored = (
+            self.complete_offset >= 0
+            and positions.era_of(self.complete_offset) < era
+        )
         present = {record.key for record in page.records}
+        lacking = []
         for key, known in tuple(self.latest.items()):
             if (
-                key not in present
-                and known.value is not None
-                and known.offset < page.end_offset
+                key in present
+                or known.value is None
+                or known.offset >= page.end_offset
             ):
-                # Uses the highest offset of the page, since gateways that
-                # follow this one may have newer records of the key.
-                self._apply(
-                    interfaces.KeyedRecord(page.end_offset - 1, key, None)
-                )
-        self.merge(page.records, page.end_offset)
+                continue
+            if positions.era_of(known.offset) < era:
+                lacking.append(known)
+                continue
+            # Uses the highest offset of the page, since gateways that follow
+            # this one may have newer records of the key.
+            self._apply(interfaces.KeyedRecord(page.end_offset - 1, key, None))
+        stale = {r.key for r in page.records if self._stays_dropped(r)}
+        lacking += [self.latest[key] for key in stale]
+        self.merge(
+            [r for r in page.records if r.key not in stale], page.end_offset
+        )
         self.complete_offset = self.offset
+        if restored:
+            log.warning(
+                "store restored",
+                topic=self.topic.value,
+                era=era,
+                lacking=len(lacking),
+            )
+            now_ms = self.clock.now_ms()
+            self._settled_ms = now_ms + SETTLE_MS
+            self.uninterrupted_since_ms = now_ms
+            self.after_restoration(lacking)
 
     def uninterrupted_ms(self) -> int:
         """Returns how long the store has been answering without a gap."""
@@ -194,10 +265,52 @@
         """Returns the longest time between answers that is not a gap."""
         return GAP_MS + self.wait_ms + self.interval_ms
 
+    def _replace_newer(self, page: interfaces.Page) -> None:
+        if positions.era_of(page.end_offset) < positions.era_of(self.offset):
+            raise interfaces.StoreError("the answer is from an earlier era")
+        self.replace(page)
+
+    def _stays_dropped(self, record: interfaces.KeyedRecord) -> bool:
+        known = self.latest.get(record.key)
+        return (
+            self.keeps_dropped
+            and known is not None
+            and known.value is None
+            and _is_restored(known, record)
+        )
+
+    def _drop_unconfirmed(self) -> None:
+        """Drops keys that a restored store lacks, once writers had time."""
+        if (
+            self._settled_ms < 0
+            or self.clock.now_ms() < self._settled_ms
+            or not self.is_complete()
+        ):
+            return
+        self._settled_ms = -1
+        era = positions.era_of(self.offset)
+        for record in tuple(self.latest.values()):
+            if (
+                record.value is not None
+                and positions.era_of(record.offset) < era
+            ):
+                # The next record of the key may have the offset that this
+                # feed has reached; followers ask for changes from that one on.
+                self._apply(
+                    interfaces.KeyedRecord(self.offset - 1, record.key, None)
+                )
+                self._changed_at[record.key] = self.offset
+
     def _apply(self, record: interfaces.KeyedRecord) -> None:
-        known = record.key in self.latest
+        known = self.latest.get(record.key)
         self.latest[record.key] = record
-        if not self.apply_record(record) or not known:
+        # Followers need the first record after a restoration also if it is a
+        # repeat, as it shows that the key still exists.
+        if (
+            not self.apply_record(record)
+            or known is None
+            or _is_restored(known, record)
+        ):
             self._changed_at[record.key] = record.offset
 
     def _record_answer(self, answered_ms: int) -> None:
@@ -212,7 +325,15 @@
         self.read_ms = self.clock.now_ms()
         self._record_answer(self.read_ms)
         self.answered_reads += 1
+        self._drop_unconfirmed()
         self.after_read()
         if self._failing:
             log.info("store answers again", topic=self.topic.value)
         self._failing = False
+
+
+def _is_restored(
+    known: interfaces.KeyedRecord, record: interfaces.KeyedRecord
+) -> bool:
+    """Whether the store was restored between two records."""
+    return positions.era_of(known.offset) < positions.era_of(record.offset)
--- a/oleanderbay/gateway/fetching.py
+++ b/oleanderbay/gateway/fetching.py
@@ -7,11 +7,12 @@
 import structlog
 
 from oleanderbay.connection import frames
-from oleanderbay.gateway import feed, interfaces
+from oleanderbay.gateway import feed, interfaces, positions
 from oleanderbay.gateway import telemetry as telemetry_module
 from oleanderbay.process import clock as clocks
 
-RECORDS = "records"
+# Gateways of earlier versions ask with offsets that lack the store's era.
+RECORDS = "records2"
 # Longest time without a byte of the answer. The time for all of it depends on
 # its size and on the link, so a limit on that would fail each time.
 SILENCE_MS = 500
@@ -188,7 +189,7 @@
             "records fetched",
             peer=gateway_id,
             topic=name,
-            offset=own_feed.offset,
+            offset=positions.number_in_era(own_feed.offset),
             took_ms=self.clock.now_ms() - started_ms,
         )
         return True
--- a/oleanderbay/gateway/interfaces.py
+++ b/oleanderbay/gateway/interfaces.py
@@ -32,7 +32,7 @@
     """A record of a keyed topic.
 
     Attributes:
-        offset: Offset in the topic.
+        offset: Offset in the topic, with the store's era; see `positions`.
         key: Key of the record.
         value: Value of the key; None if the key was deleted.
     """
@@ -62,7 +62,8 @@
     """The partitions that the store assigned to a member of a group.
 
     Attributes:
-        generation: Generation of the assignment; increases with each change.
+        generation: Generation of the assignment, with the store's era; see
+            `positions`. Increases with each change.
         partitions: Partitions that the member owns.
     """
 
@@ -94,7 +95,8 @@
         """Returns records from an offset on, waiting until there is one.
 
         Raises:
-            HistoryGoneError: Records from `start` on are no longer retained.
+            HistoryGoneError: Records from `start` on are no longer retained,
+                or the store was restored from a copy that lacks them.
             StoreError: The topic could not be read.
         """
         ...
--- a/oleanderbay/gateway/membership.py
+++ b/oleanderbay/gateway/membership.py
@@ -7,8 +7,8 @@
 import structlog
 import xxhash
 
+from oleanderbay.gateway import positions, summaries
 from oleanderbay.gateway import settings as settings_module
-from oleanderbay.gateway import summaries
 from oleanderbay.process import clock as clocks
 
 # A peer counts as live for this many heartbeat intervals. With fewer, a few
@@ -92,7 +92,7 @@
         leaving=bool(body["leaving"]),
         heard_ms=now_ms,
         sequence=int(body["sequence"]),
-        offsets=dict(body["offsets"]),
+        offsets=positions.parse_offsets(body),
         store_age_ms=int(body["store_age_ms"]),
         # Gateways of earlier versions don't send the interval.
         interval_ms=int(body.get("interval_ms", interval_ms)),
--- a/oleanderbay/gateway/peers.py
+++ b/oleanderbay/gateway/peers.py
@@ -15,6 +15,7 @@
     feed,
     fetching,
     membership,
+    positions,
     relays,
     summaries,
 )
@@ -179,7 +180,9 @@
             "zone": self.config.entry.zone,
             "callers": self.config.listeners.callers,
             "sequence": self._sequence,
-            "offsets": {n: f.offset for n, f in self.feeds.items()},
+            **positions.split_offsets(
+                {n: f.offset for n, f in self.feeds.items()}
+            ),
             "store_age_ms": self._store_age_ms(),
             "interval_ms": self._interval_ms,
             **contents,
--- a/oleanderbay/gateway/quarantine_records.py
+++ b/oleanderbay/gateway/quarantine_records.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+import random
 
 import structlog
 import xxhash
@@ -15,6 +16,9 @@
 RETRY_MS = 500
 # A read waits long at the store, since there are hardly ever new records.
 WAIT_MS = 10_000
+# Records that a restored store lacks are written again within this time, before
+# the feed drops them.
+REWRITE_SPREAD_MS = feed.SETTLE_MS // 2
 
 log = structlog.get_logger()
 
@@ -31,8 +35,10 @@
         store: interfaces.Store,
         clock: clocks.Clock,
         prompt_quarantine: quarantine.PromptQuarantine,
+        rng: random.Random,
     ) -> None:
         self.store = store
+        self.rng = rng
         self.clock = clock
         self.quarantine = prompt_quarantine
         self.feed = feed.Feed(
@@ -42,8 +48,11 @@
             self._apply,
             WAIT_MS,
             0,
+            keeps_dropped=True,
         )
+        self.feed.after_restoration = self._record_restoration
         self._pending: dict[str, bytes | None] = {}
+        self._lacking: list[interfaces.KeyedRecord] = []
         self._changed = asyncio.Event()
         prompt_quarantine.on_change = self._record_change
 
@@ -52,6 +61,11 @@
         while True:
             await self._changed.wait()
             self._changed.clear()
+            if self._lacking:
+                # All gateways hold these records. After different delays, most
+                # of them find that another one has written them again.
+                await self.clock.sleep_ms(self.rng.randrange(REWRITE_SPREAD_MS))
+                self._add_lacking()
             while self._pending:
                 key, value = next(iter(self._pending.items()))
                 try:
@@ -74,6 +88,19 @@
         self._pending[key] = json.dumps(body).encode() if held else None
         self._changed.set()
 
+    def _record_restoration(
+        self, lacking: list[interfaces.KeyedRecord]
+    ) -> None:
+        self._lacking = lacking
+        if lacking:
+            self._changed.set()
+
+    def _add_lacking(self) -> None:
+        for record in self._lacking:
+            if self.feed.latest[record.key] == record:
+                self._pending.setdefault(record.key, record.value)
+        self._lacking = []
+
     def _apply(self, record: interfaces.KeyedRecord) -> None:
         if record.value is None:
             self.quarantine.apply_record(record.key, frozenset(), 0)
--- a/oleanderbay/gateway/shared_reads.py
+++ b/oleanderbay/gateway/shared_reads.py
@@ -18,7 +18,8 @@
 from oleanderbay.gateway import feed, interfaces, membership
 from oleanderbay.process import clock as clocks
 
-SUBSCRIBE = "subscribe"
+# Gateways of earlier versions subscribe with offsets that lack the store's era.
+SUBSCRIBE = "subscribe2"
 # Heartbeat field with the result of `ReaderElection.is_eligible`.
 STORE_ANSWERS = "store_answers"
 # Interval at which the subscription is checked against the elected reader.
@@ -76,7 +77,7 @@
         it gets from the current reader.
         """
         feeds = self.feeds.values()
-        if any(f.complete_offset < 0 for f in feeds):
+        if not all(f.is_complete() for f in feeds):
             return False
         read_ms = max(f.read_ms for f in feeds)
         failed_ms = max(f.failed_ms for f in feeds)
@@ -181,7 +182,10 @@
                 received_ms = self.clock.now_ms()
                 self._sent_ms[writer] = None
                 number, offset = (int(value) for value in request.body)
-                while self.workers_feed.answered_reads <= number:
+                while (
+                    self.workers_feed.answered_reads <= number
+                    or not self.workers_feed.is_complete()
+                ):
                     await self._next_answer.wait()
                 body = [
                     self.workers_feed.answered_reads,
@@ -289,11 +293,11 @@
             Number of the read that returned this batch.
         """
         sent_ms = self.clock.now_ms()
-        writer.write(
-            frames.encode(
-                SUBSCRIBE, 1, [number, max(0, self.workers_feed.offset)]
-            )
+        # An incomplete feed asks for the whole topic.
+        offset = (
+            self.workers_feed.offset if self.workers_feed.is_complete() else 0
         )
+        writer.write(frames.encode(SUBSCRIBE, 1, [number, offset]))
         answer = await frames.read(reader)
         number, after_ms, packed = answer.body
         whole, end_offset, rows = msgpack.unpackb(packed)
--- a/oleanderbay/gateway/state.py
+++ b/oleanderbay/gateway/state.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from oleanderbay.gateway import interfaces, table, workers
+from oleanderbay.gateway import interfaces, positions, table, workers
 from oleanderbay.process import clock as clocks
 
 # Records arrive up to one read interval after they were written, so the end of
@@ -67,6 +67,45 @@
         self.revision += 1
         log.info("zones without new work", zones=sorted(self.evacuated_zones))
 
+    def is_outdated_configuration(
+        self, known: interfaces.KeyedRecord, restored: interfaces.KeyedRecord
+    ) -> bool:
+        """Whether a restored configuration is older than the known one."""
+        if (
+            not self.decoder.is_configuration(known.key)
+            or known.value is None
+            or restored.value is None
+        ):
+            return False
+        known_table = self.decoder.table(known.value)
+        restored_table = self.decoder.table(restored.value)
+        if isinstance(restored_table, str):
+            return True
+        return (
+            not isinstance(known_table, str)
+            and restored_table.version < known_table.version
+        )
+
+    def is_outdated_worker(
+        self, known: interfaces.KeyedRecord, restored: interfaces.KeyedRecord
+    ) -> bool:
+        """Whether a restored record of a worker is older than the known one.
+
+        Within one start of a worker, the number of its orders only grows, and
+        a worker that drains does not become ready again.
+        """
+        before = self.workers.get(known.key)
+        if before is None or restored.value is None:
+            return False
+        worker = self.decoder.worker(restored.key, restored.value)
+        if isinstance(worker, str):
+            return False
+        return (worker.started_ms, worker.sequence, worker.draining) < (
+            before.started_ms,
+            before.sequence,
+            before.draining,
+        )
+
     def apply_worker(self, record: interfaces.KeyedRecord) -> bool:
         """Applies a record of the workers topic.
 
@@ -188,7 +227,8 @@
         log.info(
             "configuration in force",
             version=new_table.version,
-            offset=record.offset,
+            offset=positions.number_in_era(record.offset),
+            era=positions.era_of(record.offset),
             routes=sum(len(routes) for routes in new_table.hosts.values()),
         )
 
--- a/oleanderbay/gateway/summaries.py
+++ b/oleanderbay/gateway/summaries.py
@@ -8,6 +8,8 @@
 import msgpack
 import xxhash
 
+from oleanderbay.gateway import positions
+
 # Number of relays per zone; each of them sends summaries.
 RELAYS_PER_ZONE = 2
 # Number of consecutive summaries that carry the list of gateways after it has
@@ -113,6 +115,7 @@
             field.name: getattr(self, field.name)
             for field in dataclasses.fields(self)
         }
+        body |= positions.split_offsets(self.offsets)
         if gateways is None:
             del body["gateways"]
         else:
@@ -136,7 +139,7 @@
         sequence=int(body["sequence"]),
         interval_ms=int(body["interval_ms"]),
         store_age_ms=int(body["store_age_ms"]),
-        offsets={str(n): int(o) for n, o in dict(body["offsets"]).items()},
+        offsets=positions.parse_offsets(body),
         digest=int(body["digest"]),
         sums={
             # Empty contents may be missing.
--- a/oleanderbay/platform/store.py
+++ b/oleanderbay/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import dataclasses
 import json
 import struct
 from collections.abc import Mapping
@@ -9,7 +10,7 @@
 
 import aiohttp
 
-from oleanderbay.gateway import interfaces
+from oleanderbay.gateway import interfaces, positions
 from oleanderbay.platform import names
 
 TOPIC_NAMES = {
@@ -29,6 +30,35 @@
 _PAGE_HEADER = struct.Struct(">QQ")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """An answer of the store.
+
+    Attributes:
+        status: HTTP status code.
+        era: Era of the store.
+        body: The complete body.
+    """
+
+    status: int
+    era: int
+    body: bytes
+
+    def json(self, path: str) -> Any:
+        """Returns the decoded body of a successful answer.
+
+        Raises:
+            StoreError: The call failed, or the body is not valid JSON.
+        """
+        _raise_for_status(self.status, path)
+        try:
+            return json.loads(self.body)
+        except ValueError as error:
+            raise interfaces.StoreError(
+                f"{path}: the response is not valid JSON"
+            ) from error
+
+
 class HttpStore:
     """A client of the store.
 
@@ -62,17 +92,24 @@
         """Reads the newest record of each key; see `Store.newest`."""
         records: list[interfaces.KeyedRecord] = []
         end_offset: int | None = None
+        era: int | None = None
         query = {"topic": TOPIC_NAMES[topic], "part": "0"}
         while True:
-            body = await self._call_json("GET", "/log-newest", query)
+            answer = await self._call("GET", "/log-newest", query)
+            body = answer.json("/log-newest")
+            if era not in (None, answer.era):
+                raise interfaces.HistoryGoneError(
+                    "the store was restored between two pages"
+                )
+            era = answer.era
             try:
                 for item in body["items"]:
-                    records.append(_parse_newest_item(item))
+                    records.append(_parse_newest_item(item, era))
                 # Pages are not a consistent snapshot: records that were
                 # written after the first page may be missing. The end offset
                 # of the first page makes the following read return them.
                 if end_offset is None:
-                    end_offset = int(body["end_offset"])
+                    end_offset = positions.combine(era, int(body["end_offset"]))
                 if not body.get("has_more") or not body["items"]:
                     break
                 query["start_after"] = str(body["items"][-1]["key"])
@@ -90,20 +127,25 @@
         query = {
             "topic": TOPIC_NAMES[topic],
             "part": "0",
-            "from": str(start),
+            "from": str(positions.number_in_era(start)),
             "max_kb": str(MAX_READ_KB),
         }
         if wait_ms:
             query["wait_ms"] = str(wait_ms)
-        status, body = await self._call(
-            "GET", "/log-read", query, None, wait_ms + self.timeout_ms
+        answer = await self._call(
+            "GET", "/log-read", query, head_timeout_ms=wait_ms + self.timeout_ms
         )
-        if status == 410:
+        if answer.status == 410:
             raise interfaces.HistoryGoneError(
-                f"records from offset {start} on are no longer retained"
+                f"the store has no records from offset {query['from']} on"
             )
-        _raise_for_status(status, "read")
-        return _parse_page(body, start)
+        _raise_for_status(answer.status, "read")
+        if answer.era != positions.era_of(start):
+            raise interfaces.HistoryGoneError(
+                f"the store is in era {answer.era}, the read in era "
+                f"{positions.era_of(start)}"
+            )
+        return _parse_page(answer.body, start)
 
     async def put(
         self, topic: interfaces.Topic, key: str, value: bytes | None
@@ -111,34 +153,45 @@
         """Appends a record; see `Store.put`."""
         encoded_key = key.encode()
         content = bytes((len(encoded_key),)) + encoded_key + (value or b"")
-        status, _ = await self._call(
+        answer = await self._call(
             "POST",
             "/log-append",
             {"topic": TOPIC_NAMES[topic], "part": "0"},
             _RECORD_LENGTH.pack(len(content)) + content,
-            self.timeout_ms,
         )
-        _raise_for_status(status, "append")
+        _raise_for_status(answer.status, "append")
 
     async def join(
         self, member: str, ttl_ms: int, generation: int
     ) -> interfaces.Ownership:
         """Joins the group of domain owners; see `Store.join`."""
-        body = await self._call_json(
-            "POST",
-            "/log-join",
-            {},
-            {
-                "group": names.DOMAIN_OWNERS_GROUP,
-                "member": member,
-                "topics": [names.DOMAINS_TOPIC],
-                "ttl_ms": ttl_ms,
-                "generation": generation,
-            },
+        ownership = await self._join(member, ttl_ms, generation)
+        # A restored store counts generations again, and takes one of an earlier
+        # era for the confirmation of assignments that it has yet to make.
+        if generation and positions.era_of(
+            ownership.generation, positions.GENERATION_BITS
+        ) != positions.era_of(generation, positions.GENERATION_BITS):
+            ownership = await self._join(member, ttl_ms, ownership.generation)
+        return ownership
+
+    async def _join(
+        self, member: str, ttl_ms: int, generation: int
+    ) -> interfaces.Ownership:
+        bits = positions.GENERATION_BITS
+        request = {
+            "group": names.DOMAIN_OWNERS_GROUP,
+            "member": member,
+            "topics": [names.DOMAINS_TOPIC],
+            "ttl_ms": ttl_ms,
+            "generation": positions.number_in_era(generation, bits),
+        }
+        answer = await self._call(
+            "POST", "/log-join", {}, json.dumps(request).encode()
         )
+        body = answer.json("/log-join")
         try:
             return interfaces.Ownership(
-                int(body["generation"]),
+                positions.combine(answer.era, int(body["generation"]), bits),
                 frozenset(int(row[1]) for row in body["parts"]),
             )
         except (KeyError, TypeError, ValueError, IndexError) as error:
@@ -148,47 +201,29 @@
 
     async def leave(self, member: str) -> None:
         """Releases all partitions of a member; see `Store.leave`."""
-        await self._call_json(
-            "POST",
-            "/log-leave",
-            {},
-            {"group": names.DOMAIN_OWNERS_GROUP, "member": member},
+        request = {"group": names.DOMAIN_OWNERS_GROUP, "member": member}
+        answer = await self._call(
+            "POST", "/log-leave", {}, json.dumps(request).encode()
         )
-
-    async def _call_json(
-        self,
-        method: str,
-        path: str,
-        query: Mapping[str, str],
-        body: Any = None,
-    ) -> Any:
-        data = None if body is None else json.dumps(body).encode()
-        status, response_body = await self._call(
-            method, path, query, data, self.timeout_ms
-        )
-        _raise_for_status(status, path)
-        try:
-            return json.loads(response_body)
-        except ValueError as error:
-            raise interfaces.StoreError(
-                f"{path}: the response is not valid JSON"
-            ) from error
+        answer.json("/log-leave")
 
     async def _call(
         self,
         method: str,
         path: str,
         query: Mapping[str, str],
-        data: bytes | None,
-        head_timeout_ms: int,
-    ) -> tuple[int, bytes]:
+        data: bytes | None = None,
+        head_timeout_ms: int | None = None,
+    ) -> Answer:
         assert self._session is not None
         headers = {} if data is None else {"Content-Type": "application/json"}
         loop = asyncio.get_running_loop()
         body = bytearray()
         try:
             async with (
-                asyncio.timeout(head_timeout_ms / 1000) as limit,
+                asyncio.timeout(
+                    (head_timeout_ms or self.timeout_ms) / 1000
+                ) as limit,
                 self._session.request(
                     method,
                     f"http://{self.address}{path}",
@@ -202,19 +237,30 @@
                     limit.reschedule(loop.time() + self.timeout_ms / 1000)
                     part = await response.content.readany()
                     if not part:
-                        return response.status, bytes(body)
+                        break
                     body += part
                     if len(body) > MAX_RESPONSE_BYTES:
                         response.close()
                         raise interfaces.StoreError(
                             f"{path}: the response is too large"
                         )
+                return Answer(
+                    response.status, _parse_era(response.headers), bytes(body)
+                )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise interfaces.StoreError(
                 f"{path}: {type(error).__name__}: {error}"
             ) from error
 
 
+def _parse_era(headers: Mapping[str, str]) -> int:
+    # Stores that were never restored may not state an era.
+    text = headers.get(names.STORE_ERA, "0")
+    if not (text.isascii() and text.isdigit()):
+        raise interfaces.StoreError(f"the era {text!r} is not a number")
+    return int(text)
+
+
 def _raise_for_status(status: int, operation: str) -> None:
     if 200 <= status < 300:
         return
@@ -226,9 +272,9 @@
     raise interfaces.StoreError(message)
 
 
-def _parse_newest_item(item: Any) -> interfaces.KeyedRecord:
+def _parse_newest_item(item: Any, era: int) -> interfaces.KeyedRecord:
     return interfaces.KeyedRecord(
-        int(item["offset"]),
+        positions.combine(era, int(item["offset"])),
         str(item["key"]),
         base64.b64decode(item["value"]),
     )
@@ -239,10 +285,15 @@
         raise interfaces.StoreError(
             "the response to a read is shorter than its header"
         )
-    end_offset, first_offset = _PAGE_HEADER.unpack_from(body)
+    era = positions.era_of(start)
+    end_offset, first_offset = (
+        positions.combine(era, offset)
+        for offset in _PAGE_HEADER.unpack_from(body)
+    )
     if start < first_offset:
         raise interfaces.HistoryGoneError(
-            f"the first retained record has offset {first_offset}"
+            "the first retained record has offset "
+            f"{positions.number_in_era(first_offset)}"
         )
     position, offset, records = _PAGE_HEADER.size, start, []
     while position + _RECORD_LENGTH.size <= len(body):
@@ -256,7 +307,8 @@
         offset += 1
     if start > end_offset:
         raise interfaces.HistoryGoneError(
-            f"the read starts beyond the end offset {end_offset}"
+            "the read starts beyond the end offset "
+            f"{positions.number_in_era(end_offset)}"
         )
     return interfaces.Page(tuple(records), offset, offset < end_offset)
 
--- a/oleanderbay/standins/metadata_store.py
+++ b/oleanderbay/standins/metadata_store.py
@@ -69,7 +69,7 @@
         self.first: dict[str, int] = {}
         self.calls: list[str] = []
         self.between_pages: Any = None
-        self.era = 1
+        self.era = 0
         self.generation = 0
         self.members: dict[str, Member] = {}
         self.holders: dict[int, str] = {}
@@ -152,7 +152,7 @@
         if self.spend("slow"):
             await self.clock.sleep_ms(self.slow_ms)
         response: web.StreamResponse = await handler(request)
-        response.headers[names.STORE_ERA] = str(self.era)
+        response.headers.setdefault(names.STORE_ERA, str(self.era))
         if self.answer_ms:
             await self.clock.sleep_ms(self.answer_ms)
         if self.spend("lose_answer") and request.transport is not None:
@@ -209,9 +209,10 @@
             "end_offset": len(self.topics.get(topic, ())),
             "has_more": len(keys) > PAGE_ITEMS,
         }
+        headers = {names.STORE_ERA: str(self.era)}
         if self.between_pages is not None:
             await self.between_pages()
-        return web.json_response(body)
+        return web.json_response(body, headers=headers)
 
     async def _on_join(self, request: web.Request) -> web.Response:
         body = await request.json()
--- a/oleanderbay/standins/zone.py
+++ b/oleanderbay/standins/zone.py
@@ -69,15 +69,15 @@
         method: str,
         path: str,
         query: Mapping[str, str],
-        data: bytes | None,
-        timeout_ms: int,
-    ) -> tuple[int, bytes]:
+        data: bytes | None = None,
+        head_timeout_ms: int | None = None,
+    ) -> store.Answer:
         self.calls[path] += 1
         await self.clock.sleep_ms(LATENCY_MS)
         if self.mode == "refuse":
-            return 503, b""
+            return store.Answer(503, self.site.era, b"")
         if self.mode == "silent":
-            await self.clock.sleep_ms(timeout_ms)
+            await self.clock.sleep_ms(head_timeout_ms or self.timeout_ms)
             raise interfaces.StoreError("no answer")
         wait_ms = int(query.get("wait_ms", "0"))
         kept = len(self.site.topics.get(query.get("topic", ""), ()))
@@ -99,7 +99,7 @@
         head = f"HTTP/1.1 {answer.status} OK\r\nContent-Length: {len(body)}"
         self.moved[path] += len(f"{head}\r\n\r\n") + len(body)
         await self.clock.sleep_ms(LATENCY_MS)
-        return answer.status, body
+        return store.Answer(answer.status, self.site.era, body)
 
 
 class Writer:
--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -58,6 +58,8 @@
         self.store = metadata_store.MetadataStore()
         self.workers = []
         self.gateways = []
+        # Records of workers that are in the store, by worker id.
+        self.published = {}
         self.session = aiohttp.ClientSession()
 
     async def start(self, stack):
@@ -131,15 +133,27 @@
 
     async def _publish(self):
         """Writes the workers' records to the store as they change."""
-        written = {}
         while True:
             for worker in self.workers:
                 body = json.dumps(worker.record()).encode()
-                if written.get(worker.id) != body:
-                    written[worker.id] = body
+                if self.published.get(worker.id) != body:
+                    self.published[worker.id] = body
                     await self.store.put(names.WORKERS_TOPIC, worker.id, body)
             await asyncio.sleep(0.02)
 
+    async def configure(self, version):
+        await self.store.put(
+            names.CONFIGURATION_TOPIC,
+            names.CONFIGURATION_KEY,
+            json.dumps({**CONFIGURATION, "version": version}).encode(),
+        )
+
+    async def wait_for_version(self, version):
+        for gateway in self.gateways:
+            await parts.wait_until(
+                lambda g=gateway: g.status()["version"] == version
+            )
+
     def open_groups(self, gateway):
         return [g for g in gateway.status()["groups"] if g["open"]]
 
@@ -254,6 +268,40 @@
         assert arrivals() == reached + len(site.gateways)
 
 
+# The day restored: gateways that had read further than the copy went applied no
+# configuration, and new owners would have sent orders with lower fences.
+async def test_gateways_follow_a_store_that_was_restored_from_a_copy(
+    site, monkeypatch
+):
+    monkeypatch.setattr(entry, "ADDRESS_REFRESH_MS", 100)
+    async with contextlib.AsyncExitStack() as stack:
+        await site.restart_gateways(stack)
+        copy = {topic: len(held) for topic, held in site.store.topics.items()}
+        del copy[names.GATEWAYS_TOPIC]
+        for version in (2, 3, 4):
+            await site.configure(version)
+        await site.wait_for_version(4)
+        generation = site.store.generation
+        await site.store.restore(copy, generation - 2)
+        site.published.clear()
+        await asyncio.sleep(0.5)
+        assert {g.status()["version"] for g in site.gateways} == {4}
+        await site.configure(4)
+        await site.configure(5)
+        await site.wait_for_version(5)
+        await parts.wait_until(
+            lambda: (
+                set(site.store.newest(names.GATEWAYS_TOPIC))
+                == {g.config.entry.id for g in site.gateways}
+            )
+        )
+        await site.workers[0].close()
+        await site.workers[1].close()
+        del site.workers[:2]
+        await site.wait_for_groups()
+        assert await site.call(site.gateways[0], "/stream/a") == (200, STREAM)
+
+
 async def test_a_caller_without_chunked_encoding_sees_a_broken_stream(site):
     """A regular close would look like the end of the stream, so it is reset."""
     for worker in site.workers:
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from oleanderbay.gateway import feed, interfaces
+from oleanderbay.gateway import feed, interfaces, positions
 from oleanderbay.process import clock as clocks
 from tests.gateway import parts
 
@@ -13,10 +13,21 @@
     return interfaces.Page(tuple(RECORD(*r) for r in records), end)
 
 
-def make_feed(store, clock):
+def restored(offset):
+    """Returns a position after one restoration of the store."""
+    return positions.combine(1, offset)
+
+
+def make_feed(store, clock, **changes_of_feed):
     changes = []
     topic_feed = feed.Feed(
-        store, interfaces.Topic.WORKERS, clock, changes.append, 1_000, 100
+        store,
+        interfaces.Topic.WORKERS,
+        clock,
+        changes.append,
+        1_000,
+        100,
+        **changes_of_feed,
     )
     return topic_feed, changes
 
@@ -160,3 +171,108 @@
     await clock.advance(1)
     assert len(changes) == 1 and topic_feed.read_ms == 100
     task.cancel()
+
+
+async def test_key_that_a_restored_store_lacks_is_dropped_after_a_while():
+    """Its writer may need a moment to write it again, or may be gone."""
+    store, clock = parts.Store(), clocks.ManualClock()
+    topic_feed, changes = make_feed(store, clock)
+    store.answers = [
+        page(9, (5, "a", b"1"), (7, "b", b"1"), (8, "c", b"1")),
+        interfaces.HistoryGoneError("restored"),
+        page(restored(4), (restored(1), "a", b"1")),
+        page(restored(5), (restored(4), "b", b"1")),
+    ]
+    task = asyncio.create_task(topic_feed.run())
+    await clock.advance(200)
+    assert topic_feed.latest["c"].value == b"1"
+    assert not any(change.value is None for change in changes)
+    topic_feed.apply_from_reader(page(restored(5)), False, clock.now_ms())
+    await clock.advance(feed.SETTLE_MS)
+    topic_feed.apply_from_reader(page(restored(5)), False, clock.now_ms())
+    assert topic_feed.latest["c"].value is None
+    assert [c.key for c in changes if c.value is None] == ["c"]
+    # Followers that have reached the same position are told of it.
+    assert topic_feed.changed_since(topic_feed.offset) == (
+        topic_feed.latest["c"],
+    )
+    # The next record in the topic may be one of that key.
+    topic_feed.merge([RECORD(restored(5), "c", b"2")], end_offset=restored(6))
+    assert topic_feed.latest["c"].value == b"2"
+    task.cancel()
+
+
+def test_first_record_after_a_restoration_is_forwarded_though_it_repeats():
+    """A follower would otherwise drop the key as one that is missing."""
+    topic_feed = feed.Feed(
+        parts.Store(),
+        interfaces.Topic.WORKERS,
+        clocks.ManualClock(),
+        lambda _: True,
+        0,
+        500,
+    )
+    topic_feed.replace(page(5, (1, "a", b"1")))
+    topic_feed.replace(page(restored(2), (restored(1), "a", b"1")))
+    topic_feed.merge([RECORD(restored(3), "a", b"1")], restored(4))
+    assert topic_feed.changed_since(5) == (RECORD(restored(3), "a", b"1"),)
+    assert topic_feed.changed_since(restored(2)) == ()
+
+
+def test_restored_record_does_not_replace_a_newer_one():
+    """Otherwise a change that was confirmed would be undone."""
+    topic_feed, _ = make_feed(
+        parts.Store(),
+        clocks.ManualClock(),
+        is_outdated=lambda known, record: record.value < known.value,
+    )
+    topic_feed.replace(page(9, (8, "a", b"3")))
+    topic_feed.replace(page(restored(4), (restored(1), "a", b"2")))
+    # Peers that started after the restoration get the newer one as well.
+    assert topic_feed.changed_since(restored(0)) == (
+        RECORD(restored(1), "a", b"3"),
+    )
+    topic_feed.merge([RECORD(restored(4), "a", b"4")], restored(5))
+    assert topic_feed.latest["a"].value == b"4"
+
+
+def test_key_dropped_before_a_restoration_returns_only_if_written_again():
+    """The copy may hold a worker that has left since."""
+    topic_feed, changes = make_feed(
+        parts.Store(), clocks.ManualClock(), keeps_dropped=True
+    )
+    topic_feed.replace(page(9, (8, "a", b"1")))
+    topic_feed.merge([RECORD(9, "a", None)], 10)
+    lacking = []
+    topic_feed.after_restoration = lacking.extend
+    topic_feed.replace(page(restored(8), (restored(7), "a", b"1")))
+    assert changes[-1].value is None and lacking == [RECORD(9, "a", None)]
+    topic_feed.merge([RECORD(restored(8), "a", b"1")], restored(9))
+    assert changes[-1].value == b"1"
+
+
+async def test_whole_topic_is_read_again_after_a_peer_tells_of_a_new_era():
+    """Records of the new era that the peer did not send would be missing."""
+    store, clock = parts.Store(), clocks.ManualClock()
+    topic_feed, _ = make_feed(store, clock)
+    store.answers = [page(9, (8, "a", b"1")), page(9)]
+    task = asyncio.create_task(topic_feed.run())
+    await clock.advance(100)
+    topic_feed.merge([RECORD(restored(3), "a", b"2")], restored(4))
+    assert not topic_feed.is_complete()
+    store.answers = [page(restored(4), (restored(2), "b", b"1"))]
+    await clock.advance(200)
+    assert topic_feed.is_complete() and topic_feed.latest["b"].value == b"1"
+    task.cancel()
+
+
+def test_restoration_interrupts_the_answers_of_the_store():
+    """Records may be older than the orders that workers have carried out."""
+    clock = clocks.ManualClock()
+    topic_feed, _ = make_feed(parts.Store(), clock)
+    topic_feed.apply_from_reader(page(9, (8, "a", b"1")), True, 0)
+    clock.set_ms(1_000)
+    topic_feed.apply_from_reader(
+        page(restored(4), (restored(2), "a", b"1")), True, 1_000
+    )
+    assert topic_feed.uninterrupted_ms() == 0
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -2,12 +2,19 @@
 
 import asyncio
 import collections
+import json
+import random
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from oleanderbay.gateway import interfaces, quarantine, quarantine_records
+from oleanderbay.gateway import (
+    interfaces,
+    positions,
+    quarantine,
+    quarantine_records,
+)
 from oleanderbay.process import clock as clocks
 from tests.gateway import parts
 from tests.gateway.network import Network
@@ -244,11 +251,17 @@
         self.records[key] = value
 
 
+def make_records(store, clock, tracker):
+    return quarantine_records.QuarantineRecords(
+        store, clock, tracker, random.Random(1)
+    )
+
+
 async def test_a_quarantine_is_recorded_and_read_by_a_later_start(clock):
     """Restarted gateways have no evidence and would send such requests."""
     store = Store(failures=1)
     first = quarantine.PromptQuarantine(clocks.SystemClock(), HOLD_MS)
-    writer = quarantine_records.QuarantineRecords(store, first.clock, first)
+    writer = make_records(store, first.clock, first)
     task = asyncio.create_task(writer.run())
     for number in range(3):
         first.record_crash(parts.worker(f"w{number}"), ("bad",))
@@ -256,14 +269,12 @@
     ((key, value),) = store.records.items()
 
     second = quarantine.PromptQuarantine(first.clock, HOLD_MS)
-    reader = quarantine_records.QuarantineRecords(store, first.clock, second)
+    reader = make_records(store, first.clock, second)
     record = interfaces.KeyedRecord(0, key, value)
     reader.feed.merge((record,), 1)
     assert second.held_parts() == [["bad"]]
     expired = quarantine.PromptQuarantine(first.clock, 0)
-    quarantine_records.QuarantineRecords(
-        store, first.clock, expired
-    ).feed.merge((record,), 1)
+    make_records(store, first.clock, expired).feed.merge((record,), 1)
     assert not expired.held_parts()
 
     first.record_survival(("bad",))
@@ -273,12 +284,54 @@
     task.cancel()
 
 
+async def test_records_that_a_restored_store_lacks_are_written_again(clock):
+    """Gateways that start later would send such requests, or refuse good ones.
+
+    Only one of the gateways has to write them.
+    """
+    store = Store()
+    trackers = [quarantine.PromptQuarantine(clock, HOLD_MS) for _ in range(3)]
+    members = [
+        quarantine_records.QuarantineRecords(
+            store, clock, tracker, random.Random(seed)
+        )
+        for seed, tracker in enumerate(trackers)
+    ]
+    held = json.dumps({"parts": ["bad"], "began_ms": clock.wall_ms()}).encode()
+    tasks = [asyncio.create_task(member.run()) for member in members]
+    copy = interfaces.KeyedRecord(positions.combine(1, 0), "released", held)
+    for member in members:
+        member.feed.replace(
+            interfaces.Page((interfaces.KeyedRecord(1, "kept", held),), 2)
+        )
+        member.feed.merge([interfaces.KeyedRecord(2, "released", None)], 3)
+        member.feed.replace(interfaces.Page((copy,), copy.offset + 1))
+    while len(store.records) < 2:
+        await clock.advance(1)
+    assert store.records == {"kept": held, "released": None}
+    assert clock.now_ms() <= quarantine_records.REWRITE_SPREAD_MS
+    for member in members:
+        member.feed.merge(
+            [
+                interfaces.KeyedRecord(copy.offset + 1, "kept", held),
+                interfaces.KeyedRecord(copy.offset + 2, "released", None),
+            ],
+            copy.offset + 3,
+        )
+    store.records.clear()
+    await clock.advance(2 * quarantine_records.REWRITE_SPREAD_MS)
+    assert not store.records
+    assert all(tracker.held_parts() == [["bad"]] for tracker in trackers)
+    for task in tasks:
+        task.cancel()
+
+
 @pytest.mark.parametrize(
     "value", [b"x", b"[]", b'{"parts": 1, "began_ms": 1}', b'{"parts": []}']
 )
 def test_a_foreign_record_is_skipped(clock, tracker, value):
     """An exception would end the feed."""
-    reader = quarantine_records.QuarantineRecords(Store(), clock, tracker)
+    reader = make_records(Store(), clock, tracker)
     reader.feed.merge((interfaces.KeyedRecord(0, "k", value),), 1)
     assert not tracker.held_parts()
 
--- a/tests/gateway/test_shared_reads.py
+++ b/tests/gateway/test_shared_reads.py
@@ -482,3 +482,55 @@
         )
         chosen = node.gateway.shared_reads.election.elected_reader()
         assert chosen is None or chosen.host != reader.host
+
+
+async def test_a_zone_keeps_what_it_knew_until_a_restored_store_catches_up(
+    site,
+):
+    """The copy may show drained and dropped workers as they were before.
+
+    Each step checks that no gateway goes back to an older record.
+    """
+    copied = len(site.store.topics[names.WORKERS_TOPIC])
+    await site.check_drain(site.nodes, "w1")
+    await site.put("w2", gone=True)
+    await site.put("w3")
+    await site.advance(1_000)
+    configuration = len(site.store.topics[names.CONFIGURATION_TOPIC])
+    await site.store.restore(
+        {names.WORKERS_TOPIC: copied, names.CONFIGURATION_TOPIC: configuration},
+        1,
+    )
+    await site.advance(1_000)
+    for key, changes in (("w0", {}), ("w1", {"state": "draining"}), ("w3", {})):
+        await site.put(key, **changes)
+    await site.advance(5_000)
+    reader, followers = site.reader_and_followers()
+    assert len(followers) == 2
+    for node in site.nodes:
+        assert sorted(node.gateway.gateway_state.workers) == ["w0", "w1", "w3"]
+    await site.check_drain(site.nodes, "w0")
+    reader.kill()
+    site.nodes.remove(reader)
+    await site.advance(5_000)
+    await site.check_drain(site.nodes, "w3")
+
+
+async def test_a_worker_that_a_restored_store_lacks_is_gone_in_the_zone(site):
+    """It may have left while the store was away, and would never be dropped."""
+    await site.put("w3")
+    await site.advance(1_000)
+    kept = {
+        topic: len(contents) for topic, contents in site.store.topics.items()
+    }
+    kept[names.WORKERS_TOPIC] -= 1
+    await site.store.restore(kept, 1)
+    # The store has nothing to tell of it, so the gateways decide.
+    del site.written[-1]
+    site.check = lambda node: None
+    await site.advance(1_000)
+    for number in range(3):
+        await site.put(f"w{number}")
+    await site.advance(4_000)
+    for node in site.nodes:
+        assert sorted(node.gateway.gateway_state.workers) == ["w0", "w1", "w2"]
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -1,5 +1,7 @@
 """Tests of the state read from the metadata store."""
 
+import pytest
+
 from oleanderbay.gateway import interfaces
 from tests.gateway import parts
 
@@ -98,3 +100,41 @@
     dropped = interfaces.KeyedRecord(10, "a", None)
     assert not known.state.apply_worker(dropped)
     assert known.state.apply_worker(dropped)
+
+
+@pytest.mark.parametrize(
+    ("known_fields", "restored_fields", "outdated"),
+    [
+        ({"sequence": 3}, {"sequence": 2}, True),
+        ({"sequence": 3}, {"sequence": 3}, False),
+        ({"draining": True}, {}, True),
+        ({"draining": True}, {"sequence": 1}, False),
+        ({"started_ms": 5, "sequence": 3}, {"started_ms": 6}, False),
+        ({"started_ms": 6}, {"started_ms": 5, "sequence": 3}, True),
+    ],
+)
+def test_restored_records_of_workers_are_compared(
+    known_fields, restored_fields, outdated
+):
+    """A copy may show a draining worker as ready, or a worker's last start."""
+    known = parts.GatewayParts()
+    before = known.decoder.record(9, "a", parts.worker("a", **known_fields))
+    known.state.apply_worker(before)
+    after = known.decoder.record(3, "a", parts.worker("a", **restored_fields))
+    assert known.state.is_outdated_worker(before, after) == outdated
+
+
+def test_restored_configurations_are_compared_by_version():
+    """The configuration of the copy may be older than the one in force."""
+    known = parts.GatewayParts()
+    record = known.decoder.record
+    old, new = (
+        record(number, "config", parts.routing_table(version=number))
+        for number in (2, 3)
+    )
+    malformed = record(4, "config", "malformed")
+    is_outdated = known.state.is_outdated_configuration
+    assert is_outdated(new, old) and not is_outdated(old, new)
+    assert is_outdated(new, malformed) and not is_outdated(malformed, old)
+    zone = interfaces.KeyedRecord(1, "zone/z1", b"1")
+    assert not is_outdated(zone, zone)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,7 +7,7 @@
 import pytest
 from aiohttp import web
 
-from oleanderbay.gateway import feed, interfaces
+from oleanderbay.gateway import feed, interfaces, positions
 from oleanderbay.platform import names, store
 from oleanderbay.process import clock as clocks
 from oleanderbay.standins import metadata_store, server
@@ -259,11 +259,12 @@
     )
     task = asyncio.create_task(topic_feed.run())
     await parts.wait_until(lambda: topic_feed.complete_offset >= 0)
-    yield topic_feed
-    task.cancel()
+    try:
+        yield topic_feed
+    finally:
+        task.cancel()
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 30")
 async def test_records_after_a_restoration_of_the_store_are_applied():
     """Restored stores give out offsets again, with newer records at them.
 
@@ -285,7 +286,6 @@
             await parts.wait_until(lambda: b"4" in applied, limit_s=5)
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 30")
 async def test_restored_store_is_not_read_without_pause():
     """A read beyond the restored end is refused at once, each time."""
     async with client() as (stand_in, store_client):
@@ -299,3 +299,63 @@
             stand_in.calls.clear()
             await parts.wait_until(lambda: len(stand_in.calls) >= 10)
             assert stand_in.calls.count("/log-newest") <= 1
+
+
+async def test_generations_increase_across_a_restoration():
+    """Workers would refuse the orders of an owner with a lower generation."""
+    async with client(partitions=2) as (stand_in, store_client):
+        first = await store_client.join("a", 60_000, 0)
+        await store_client.join("b", 60_000, first.generation)
+        known = await store_client.join("a", 60_000, first.generation)
+        await stand_in.restore({}, 0)
+        after = await store_client.join("a", 60_000, known.generation)
+        assert after.generation > known.generation
+        assert after.partitions == {0, 1}
+        # The store would take a generation of before the restoration for the
+        # confirmation of later assignments.
+        assert stand_in.members["a"].generation <= stand_in.generation
+        await store_client.join("a", 60_000, after.generation)
+        assert stand_in.members["a"].generation == stand_in.generation
+
+
+async def test_restoration_between_two_pages_starts_the_read_again():
+    """The pages would mix records of two eras."""
+    async with client() as (stand_in, store_client):
+        for key in ("a", "b", "c"):
+            await stand_in.put(names.WORKERS_TOPIC, key, b"1")
+
+        async def restore():
+            stand_in.between_pages = None
+            await stand_in.restore({names.WORKERS_TOPIC: 3}, 1)
+
+        stand_in.between_pages = restore
+        with pytest.raises(interfaces.HistoryGoneError):
+            await store_client.newest(interfaces.Topic.WORKERS)
+        page = await store_client.newest(interfaces.Topic.WORKERS)
+        assert {positions.era_of(r.offset) for r in page.records} == {1}
+
+
+async def test_read_from_a_position_before_a_restoration_is_refused():
+    """The offset may hold another record by then."""
+    async with client() as (stand_in, store_client):
+        for number in range(3):
+            await stand_in.put(names.WORKERS_TOPIC, "a", b"%d" % number)
+        page = await store_client.read(interfaces.Topic.WORKERS, 0, 0)
+        await stand_in.restore({names.WORKERS_TOPIC: 3}, 1)
+        await stand_in.put(names.WORKERS_TOPIC, "a", b"new")
+        with pytest.raises(interfaces.HistoryGoneError, match="era"):
+            await store_client.read(
+                interfaces.Topic.WORKERS, page.end_offset, 0
+            )
+
+
+@pytest.mark.parametrize("era", ["x", "-1", "1.5", "\u00b2"])
+async def test_answer_with_a_malformed_era_is_rejected(era):
+    """Its records would get wrong positions."""
+
+    async def handle(request):
+        return web.Response(body=bytes(16), headers={names.STORE_ERA: era})
+
+    async with running_handler(handle, 2_000) as store_client:
+        with pytest.raises(interfaces.StoreError, match="era"):
+            await store_client.read(CONFIGURATION, 0, 0)
