Show that a request that crashes plain workers keeps reaching them

Callers of the kit application were refused for seconds at a time, since all three of its workers had ended: one request crashed each worker that ran it, and came again with the same path, caller and body.

The stand-in of a worker can crash for good.

--- a/oleanderbay/standins/group_worker.py
+++ b/oleanderbay/standins/group_worker.py
@@ -71,6 +71,8 @@
         events: Number of events in a stream.
         crashing_part: Id of a prompt's part; a request with it ends all
             requests of the worker once its answer begins. Empty for none.
+        crashing_path: A request for this path ends the worker once it runs;
+            empty for none.
         rate_limit: Requests a second that it states as its limit; empty for
             none.
         at_fault: Member that the head names in a 503; empty for none.
@@ -102,6 +104,7 @@
         self.orders: list[tuple[dict[str, Any], int]] = []
         self.events = 5
         self.crashing_part = ""
+        self.crashing_path = ""
         self.rate_limit = ""
         self.at_fault = ""
         self.hold_after = -1
@@ -269,6 +272,9 @@
     async def _answer(
         self, request: web.Request, body: bytes
     ) -> web.StreamResponse:
+        if self.crashing_path and request.path == self.crashing_path:
+            await self._server.crash()
+            raise asyncio.CancelledError
         if self.spend("reset_after"):
             return self._reset(request)
         if self.spend("stall"):
--- a/oleanderbay/standins/server.py
+++ b/oleanderbay/standins/server.py
@@ -16,6 +16,7 @@
     def __init__(self, cancels: bool = False) -> None:
         self.cancels = cancels
         self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
 
     async def start(self, app: web.Application, host: str, port: int) -> str:
         """Listens and returns the address; port 0 takes any free port."""
@@ -26,10 +27,22 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         await self._runner.setup()
-        await web.TCPSite(self._runner, host, port).start()
+        self._site = web.TCPSite(self._runner, host, port)
+        await self._site.start()
         bound = self._runner.addresses[0]
         return f"{bound[0]}:{bound[1]}"
 
+    async def crash(self) -> None:
+        """Resets all connections and refuses new ones."""
+        assert self._runner is not None
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
+        if self._runner.server is not None:
+            for connection in self._runner.server.connections:
+                if connection.transport is not None:
+                    connection.transport.abort()
+
     async def close(self) -> None:
         """Stops listening and closes all connections."""
         if self._runner is not None:
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -246,6 +246,30 @@
         assert sound.complete and sound.body == STREAM
 
 
+# Incident second1: a repeated request of a plain service, which has no prompt,
+# crashed worker after worker; on idle connections the crashes went unnoticed.
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 30")
+@pytest.mark.parametrize("kind", ["IDEMPOTENT", "NON_IDEMPOTENT"])
+@pytest.mark.parametrize("idle", [False, True])
+async def test_a_request_that_crashes_workers_stops_reaching_them(kind, idle):
+    async with running_pipeline(
+        12, max_attempts=2, kind=table.RouteKind[kind]
+    ) as harness:
+        if idle:
+            await asyncio.gather(*(harness.call() for _ in range(30)))
+        for worker in harness.workers:
+            worker.crashing_path = "/bad"
+            worker.executions.clear()
+        for _ in range(10):
+            caller = await harness.call("/bad")
+            await asyncio.sleep(0.1)
+        # The rule allows three requests after the third crash.
+        assert harness.runs <= 6
+        assert caller.status == 503
+        assert (await harness.call("/bad", body=b"other")).status == 502
+        assert (await harness.call()).status == 200
+
+
 # Rule LIMIT: a worker in need got all that fitted into its slots.
 async def test_a_worker_gets_no_more_than_the_rate_that_it_states():
     async with running_pipeline() as harness:
