--- a/tests/gateway/network.py
+++ b/tests/gateway/network.py
@@ -43,6 +43,9 @@
         self.loads = request_load.RequestLoad()
         self.loads.record_start(WORKER)
         self.quarantine = quarantine.PromptQuarantine(network.clock, 600_000)
+        self.request_quarantine = quarantine.PromptQuarantine(
+            network.clock, 600_000, combined=False
+        )
         self.due_ms = network.clock.now_ms() + network.rng.randrange(200)
         config = dataclasses.replace(
             parts.SETTINGS,
@@ -76,12 +79,15 @@
 
     def _contents(self):
         self.loads.retain_peers(self.peers.members.load_sources())
+        requests = self.request_quarantine.report()
         return {
             **summaries.EMPTY_CONTENTS,
             "in_flight": dict(self.loads.own_counts),
             "ready": not self.leaving,
             "leaving": self.leaving,
             **self.quarantine.report(),
+            "request_crashes": requests["crashes"],
+            "request_survived": requests["survived"],
         }
 
     def _apply_contents(self, source, body):
@@ -89,6 +95,9 @@
         self.quarantine.update_peer(
             body.get("crashes", {}), body.get("survived", {})
         )
+        self.request_quarantine.update_peer(
+            body.get("request_crashes", {}), body.get("request_survived", {})
+        )
 
     def leave(self):
         self.leaving = True
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -391,6 +391,8 @@
     net.loss = 0.1
     for number, member in enumerate(list(net.members.values())[-3:]):
         crash(member.quarantine, number, (f"first{number}", "bad"))
+        crash(member.request_quarantine, number, ("request",))
     net.run(3_000)
     for member in net.members.values():
         assert member.quarantine.held_parts() == [["bad"]]
+        assert member.request_quarantine.held_parts() == [["request"]]
--- a/tests/gateway/test_summaries.py
+++ b/tests/gateway/test_summaries.py
@@ -1,6 +1,8 @@
 """Tests of zone summaries."""
 
-from oleanderbay.gateway import request_load, summaries
+import dataclasses
+
+from oleanderbay.gateway import positions, request_load, summaries
 
 
 def test_sums_combine_contents_of_all_gateways():
@@ -15,6 +17,8 @@
         "planned": {"m": 1},
         "crashes": {"p": ["w/1"]},
         "survived": {"q": 70},
+        "request_crashes": {"r": ["w/1"]},
+        "request_survived": {"s": 70},
         "limits": {"w": (2.5, 70)},
     }
     two = {
@@ -25,6 +29,8 @@
         "serving": True,
         "crashes": {"p": ["v/1", "w/1"]},
         "survived": {"q": 50},
+        "request_crashes": {"r": ["v/1"]},
+        "request_survived": {"s": 90},
         "limits": {"w": (None, 50), "v": (1.0, 9)},
     }
     assert summaries.sum_contents([one, two, summaries.EMPTY_CONTENTS]) == {
@@ -39,6 +45,8 @@
         "serving": True,
         "crashes": {"p": ["v/1", "w/1"]},
         "survived": {"q": 50},
+        "request_crashes": {"r": ["v/1", "w/1"]},
+        "request_survived": {"s": 70},
         "limits": {"w": (None, 50), "v": (1.0, 9)},
     }
 
@@ -46,12 +54,25 @@
 def test_a_summary_of_an_earlier_version_is_accepted():
     """During an upgrade, zones would be cut off from each other."""
     sums = dict(summaries.EMPTY_CONTENTS)
-    for added_later in ("crashes", "survived", "limits"):
+    for added_later in (
+        *summaries.CRASH_KEYS,
+        *summaries.SURVIVAL_KEYS,
+        "limits",
+    ):
         del sums[added_later]
     parsed = summaries.parse_summary({**summary("a").body(None), "sums": sums})
     assert parsed.sums == summaries.EMPTY_CONTENTS
 
 
+def test_a_summary_states_the_eras_of_its_offsets():
+    """Gateways of other zones would take restored records for old ones."""
+    position = positions.combine(3, 7)
+    built = dataclasses.replace(summary("a"), offsets={"workers": position})
+    body = built.body(None)
+    assert body["offsets"] == {"workers": 7}
+    assert summaries.parse_summary(body).offsets == {"workers": position}
+
+
 def test_zone_counts_as_number_of_its_busy_gateways():
     """Counted as one gateway, a zone would seem to use nearly all slots."""
     loads = request_load.RequestLoad()
--- a/tests/gateway/test_telemetry.py
+++ b/tests/gateway/test_telemetry.py
@@ -103,6 +103,7 @@
         "worker_health": health.HealthTracker(clock),
         "retry_budget": mock.Mock(),
         "prompt_quarantine": quarantine.PromptQuarantine(clock, 1_000),
+        "request_quarantine": quarantine.PromptQuarantine(clock, 1_000),
         "clock": clock,
         "telemetry": gateway_telemetry,
     }
@@ -122,6 +123,7 @@
         loads=mock.Mock(),
         demand=mock.Mock(),
         attempt_runner=attempt.AttemptRunner(attempts),
+        crash_detector=mock.Mock(),
         rng=mock.Mock(),
         **shared,
     )
