Give followers the workers that return after a restoration

A gateway that follows the reader of its zone did not get a worker that it had seen leave before the store was restored and that came back since. Callers of that gateway were sent to fewer workers, until the worker's record changed.

Cause: a follower took the records of the reader for the copy of the store, and kept the worker out as one that the copy wrongly holds. Repeats of the record, which would have corrected it, are not forwarded.

Change: only the store's own answer is compared with keys that were dropped; the reader has done so for its followers.

--- a/oleanderbay/gateway/feed.py
+++ b/oleanderbay/gateway/feed.py
@@ -192,7 +192,7 @@
         # The page is outdated if the other gateway is behind this one.
         if page.end_offset >= self.offset:
             if whole:
-                self.replace(page)
+                self.replace(page, from_reader=True)
             else:
                 self.merge(page.records, page.end_offset)
         self._record_answer(answered_ms)
@@ -215,8 +215,14 @@
             self._apply(record)
         self.offset = max(self.offset, end_offset)
 
-    def replace(self, page: interfaces.Page) -> None:
-        """Applies the whole topic and drops the keys that it lacks."""
+    def replace(self, page: interfaces.Page, from_reader: bool = False) -> None:
+        """Applies the whole topic and drops the keys that it lacks.
+
+        Args:
+            page: The whole topic.
+            from_reader: Whether it comes from another gateway, which has
+                compared it with what it knew and forwards no repeats later.
+        """
         era = positions.era_of(page.end_offset)
         restored = (
             self.complete_offset >= 0
@@ -237,7 +243,11 @@
             # Uses the highest offset of the page, since gateways that follow
             # this one may have newer records of the key.
             self._apply(interfaces.KeyedRecord(page.end_offset - 1, key, None))
-        stale = {r.key for r in page.records if self._stays_dropped(r)}
+        stale = {
+            record.key
+            for record in page.records
+            if not from_reader and self._stays_dropped(record)
+        }
         lacking += [self.latest[key] for key in stale]
         self.merge(
             [r for r in page.records if r.key not in stale], page.end_offset
