--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -251,6 +251,17 @@
     assert changes[-1].value == b"1"
 
 
+def test_follower_gets_a_key_that_returned_after_a_restoration():
+    """Repeats are not forwarded, so nothing would correct it later."""
+    follower, changes = make_feed(
+        parts.Store(), clocks.ManualClock(), keeps_dropped=True
+    )
+    follower.merge([RECORD(8, "a", b"1"), RECORD(9, "a", None)], 10)
+    returned = page(restored(4), (restored(3), "a", b"1"))
+    follower.apply_from_reader(returned, True, 0)
+    assert changes[-1].value == b"1"
+
+
 async def test_whole_topic_is_read_again_after_a_peer_tells_of_a_new_era():
     """Records of the new era that the peer did not send would be missing."""
     store, clock = parts.Store(), clocks.ManualClock()
