Let a gateway start with any number that the platform states

Cause: a small deployment states 39.33 additional retries. The setting took whole numbers only, so every gateway ended with code 2 and no request was served.

Change: limits.retry_extra is a number; a fraction of a millisecond is rounded where the template fills in a time; 48.0 counts as 48; times may be 0.

Callers saw refused connections at every gateway.

--- a/oleanderbay/gateway/budget.py
+++ b/oleanderbay/gateway/budget.py
@@ -24,7 +24,7 @@
         self,
         clock: clocks.Clock,
         ratio: float,
-        extra: int,
+        extra: float,
         window_ms: int,
         gateway_count: Callable[[], int],
     ) -> None:
--- a/oleanderbay/gateway/settings.py
+++ b/oleanderbay/gateway/settings.py
@@ -127,8 +127,8 @@
 
     connect_timeout_ms: int = sections.milliseconds(250)
     order_timeout_ms: int = sections.milliseconds(600)
-    stall_ms: int = sections.milliseconds(6_000)
-    heartbeat_ms: int = sections.milliseconds(1_200)
+    stall_ms: int = sections.milliseconds(6_000, low=0, rounds=True)
+    heartbeat_ms: int = sections.milliseconds(1_200, low=0, rounds=True)
     max_answer_bytes: int = sections.setting(8_388_608, low=1_024, high=1 << 30)
     max_event_bytes: int = sections.setting(262_144, low=256, high=1 << 24)
     idle_ms: int = sections.milliseconds(1_000, low=0)
@@ -151,10 +151,10 @@
             crashes workers are refused.
     """
 
-    retry_ratio: float = sections.setting(0.2, low=0.0, high=10.0)
-    retry_extra: int = sections.setting(10, low=0, high=1_000_000)
-    retry_window_ms: int = sections.milliseconds(10_000)
-    load_window_ms: int = sections.milliseconds(5_000)
+    retry_ratio: float = sections.setting(0.2, low=0.0, high=1_000_000.0)
+    retry_extra: float = sections.setting(10.0, low=0.0, high=1_000_000_000.0)
+    retry_window_ms: int = sections.milliseconds(10_000, low=0, rounds=True)
+    load_window_ms: int = sections.milliseconds(5_000, low=0, rounds=True)
     quarantine_ms: int = sections.milliseconds(600_000)
 
 
@@ -169,7 +169,7 @@
         kept_factor: Factor by which some callers exceed that time.
     """
 
-    grace_ms: int = sections.milliseconds(8_000)
+    grace_ms: int = sections.milliseconds(8_000, low=0, rounds=True)
     directory_ttl_ms: int = sections.milliseconds(1_000)
     kept_factor: int = sections.setting(3, low=1, high=10)
 
--- a/oleanderbay/process/checker.py
+++ b/oleanderbay/process/checker.py
@@ -99,7 +99,7 @@
         elif kind is str:
             self._string(limits, found, path)
         elif kind in (int, float):
-            self._number(kind, limits, found, path)
+            return self._number(kind, limits, found, path)
         return found
 
     def receiver(self, telemetry: Any) -> None:
@@ -136,19 +136,25 @@
         limits: Mapping[str, Any],
         found: Any,
         path: tuple[str, ...],
-    ) -> None:
+    ) -> Any:
         low, high = limits.get("low"), limits.get("high")
         noun = "an integer" if kind is int else "a number"
-        allowed = f"{noun} from {low} to {high} is allowed"
-        good = isinstance(found, int if kind is int else (int, float))
         if (
-            not good
+            kind is int
+            and isinstance(found, float)
+            and math.isfinite(found)
+            and (limits.get("rounds") or found.is_integer())
+        ):
+            found = round(found)
+        if (
+            not isinstance(found, int if kind is int else (int, float))
             or isinstance(found, bool)
             or not math.isfinite(found)
             or found < (-math.inf if low is None else low)
             or found > (math.inf if high is None else high)
         ):
-            self.wrong(path, found, allowed)
+            self.wrong(path, found, f"{noun} from {low} to {high} is allowed")
+        return found
 
     def _line(self, path: tuple[str, ...]) -> int:
         # The parser gives no positions, so the keys of the path are looked
--- a/oleanderbay/process/sections.py
+++ b/oleanderbay/process/sections.py
@@ -20,6 +20,7 @@
     choices: tuple[str, ...] = (),
     empty: bool = True,
     address: bool = False,
+    rounds: bool = False,
 ) -> Any:
     """Declares a setting with its limits.
 
@@ -30,6 +31,7 @@
         choices: The texts allowed; empty if any text is.
         empty: Whether an empty text is allowed.
         address: Whether a text must be `host:port`.
+        rounds: Whether a fraction is rounded to an integer.
     """
     limits = {
         "low": low,
@@ -37,13 +39,16 @@
         "choices": choices,
         "empty": empty,
         "address": address,
+        "rounds": rounds,
     }
     return dataclasses.field(default=default, metadata=limits)
 
 
-def milliseconds(default: int, low: int = 1, high: int = 3_600_000) -> Any:
+def milliseconds(
+    default: int, low: int = 1, high: int = 3_600_000, *, rounds: bool = False
+) -> Any:
     """Declares a time in ms, by default from 1 ms to an hour."""
-    return setting(default, low=low, high=high)
+    return setting(default, low=low, high=high, rounds=rounds)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -8,7 +8,7 @@
 
 from oleanderbay.cli import codes, main
 from oleanderbay.gateway import settings
-from tests.gateway import parts
+from tests.gateway import parts, template
 
 TREE = json.loads(json.dumps(dataclasses.asdict(parts.SETTINGS)))
 SECTIONS = typing.get_type_hints(settings.Settings)
@@ -57,3 +57,97 @@
     path.write_text(text)
     assert main.main(["gateway", "--settings", str(path)]) == codes.EXIT_USAGE
     assert len(capsys.readouterr().err.splitlines()) == 1
+
+
+def _read(values):
+    return settings.parse(template.render(values))
+
+
+def test_the_template_of_the_platform_is_filled_in():
+    """Guards against a placeholder whose value is not taken over."""
+    filled = _read(template.VALUES)
+    assert filled.store.partitions == 24
+    assert filled.workers.heartbeat_ms == 1_200
+    assert filled.workers.stall_ms == 6_000
+    assert filled.limits.retry_ratio == 0.2
+    assert filled.limits.retry_extra == 105
+    assert filled.limits.retry_window_ms == 10_000
+    assert filled.limits.load_window_ms == 5_000
+    assert filled.stop.grace_ms == 8_000
+    assert filled.peers.seeds == tuple(template.VALUES["seeds"])
+
+
+@pytest.mark.parametrize(
+    ("path", "section", "field", "factor"),
+    [
+        ("heartbeat_ms", "workers", "heartbeat_ms", 1),
+        ("bounds.stall_ms", "workers", "stall_ms", 1),
+        ("bounds.retry_budget_ratio", "limits", "retry_ratio", 1),
+        ("bounds.budget_extra", "limits", "retry_extra", 1),
+        ("bounds.budget_window_s", "limits", "retry_window_ms", 1_000),
+        ("bounds.ceiling_window_s", "limits", "load_window_ms", 1_000),
+        ("bounds.grace_s", "stop", "grace_ms", 1_000),
+    ],
+)
+@pytest.mark.parametrize("value", [0, 0.0, 7, 7.0, 39.33, 1_800, None])
+def test_a_gateway_starts_with_any_number_of_the_platform(
+    path, section, field, factor, value
+):
+    """No gateway of a small deployment that stated 39.33 retries started.
+
+    Times are whole milliseconds, so a fraction of one is rounded.
+    """
+    found = getattr(
+        getattr(_read(template.changed(path, value)), section), field
+    )
+    default = getattr(getattr(parts.SETTINGS, section), field)
+    if value is None:
+        assert found == default
+    elif field.endswith("_ms"):
+        assert found == round(value * factor) and isinstance(found, int)
+    else:
+        assert found == value
+
+
+@pytest.mark.parametrize("value", [1, 48, 48.0, 4_096])
+def test_a_whole_number_may_be_written_as_a_fraction(value):
+    """JSON does not tell 48 and 48.0 apart."""
+    partitions = _read(template.changed("platform.parts", value)).store
+    assert partitions.partitions == value
+    assert isinstance(partitions.partitions, int)
+
+
+@pytest.mark.parametrize(
+    "path", ["seeds", "listen.directory", "platform.parts"]
+)
+def test_a_gateway_starts_without_an_optional_value(path):
+    """A gateway may be the first of its site, or serve no directory."""
+    assert _read(template.changed(path, None))
+
+
+@pytest.mark.parametrize(
+    ("path", "named"),
+    [
+        ("node", "entry.id"),
+        ("zone", "entry.zone"),
+        ("ip", "entry.host"),
+        ("listen.front", "listeners.callers"),
+        ("listen.ready", "listeners.readiness"),
+        ("internal_ports", "peers.port"),
+        ("platform.address", "store.address"),
+    ],
+)
+def test_a_mandatory_value_that_is_missing_is_named(path, named):
+    """The error must name the setting rather than a position in the text."""
+    with pytest.raises(settings.SettingsError, match=named):
+        _read(template.changed(path, None))
+
+
+@pytest.mark.parametrize("value", [-1, "x", True, 1.5])
+def test_a_number_of_partitions_that_makes_no_sense_is_rejected(value):
+    """Guards against rounding what is no time."""
+    text = template.render(template.changed("platform.parts", value)).replace(
+        "True", "true"
+    )
+    with pytest.raises(settings.SettingsError):
+        settings.parse(text)
