Keep errors of a second worker out of a stream that has begun

Cause: a stream broke after some events, and the worker that was to resume it answered 301, 400, 401, 404, 409, 410, 413 or 422. The attempt passed such an answer on with send_complete, whatever the caller had already received. So a second head and the error's body went into the middle of the stream, whose end then looked regular. 408, 421, 429, 5xx and refusals were not passed on.

Change: once a response has begun, an attempt passes on nothing but a success; any other answer is a failed attempt, which is retried or ends the stream with an abort. A caller's response refuses a second head, and a request that tries to write one is aborted.

Callers saw the text of an error inside a stream and a stream that ended as if it were complete.

--- a/oleanderbay/gateway/attempt.py
+++ b/oleanderbay/gateway/attempt.py
@@ -324,6 +324,18 @@
                 may_have_run=True,
                 may_have_arrived=True,
             )
+        if sink.started and (
+            response_class is not interfaces.ResponseClass.SUCCESS
+        ):
+            # Its head and body can't follow the part of a stream that the
+            # caller has.
+            deps.worker_health.record_failure(worker.id)
+            return response.FailedAttempt(
+                f"status {worker_response.status} in place of the rest of a"
+                " stream",
+                may_have_run=True,
+                may_have_arrived=True,
+            )
         left_ms = max(1, request.deadline_ms - deps.clock.now_ms())
         if response_class is interfaces.ResponseClass.FAILURE:
             complete = await self._read_response(worker_response, left_ms)
--- a/oleanderbay/gateway/listener.py
+++ b/oleanderbay/gateway/listener.py
@@ -17,6 +17,7 @@
     interfaces,
     pipeline,
     request_head,
+    response,
     settings,
     state,
     table,
@@ -54,10 +55,14 @@
     async def begin(
         self, status: int, headers: "multidict.CIMultiDict[str]"
     ) -> None:
-        """Writes the head of a response of unknown length."""
-        response = web.StreamResponse(status=status, headers=headers)
-        self._prepare(response)
-        await response.prepare(self.request)
+        """Writes the head of a response of unknown length.
+
+        Raises:
+            ResponseStartedError: The response has begun.
+        """
+        http_response = web.StreamResponse(status=status, headers=headers)
+        self._prepare(http_response)
+        await http_response.prepare(self.request)
 
     async def write(self, data: bytes) -> None:
         """Writes a part of the body; waits while the caller reads slowly."""
@@ -72,9 +77,14 @@
     async def send_complete(
         self, status: int, headers: "multidict.CIMultiDict[str]", body: bytes
     ) -> None:
-        """Writes a complete response."""
-        response = web.Response(status=status, headers=headers, body=body)
-        await self._send(response)
+        """Writes a complete response.
+
+        Raises:
+            ResponseStartedError: The response has begun.
+        """
+        await self._send(
+            web.Response(status=status, headers=headers, body=body)
+        )
 
     async def refuse(self, refusal: outcome.Refusal) -> None:
         """Writes a refusal as the response."""
@@ -95,16 +105,18 @@
         else:
             transport.close()
 
-    async def _send(self, response: web.Response) -> None:
-        self._prepare(response)
-        await response.prepare(self.request)
-        await response.write_eof()
+    async def _send(self, http_response: web.Response) -> None:
+        self._prepare(http_response)
+        await http_response.prepare(self.request)
+        await http_response.write_eof()
 
-    def _prepare(self, response: web.StreamResponse) -> None:
+    def _prepare(self, http_response: web.StreamResponse) -> None:
+        if self.started:
+            raise response.ResponseStartedError
         self.started = True
-        self.http_response = response
+        self.http_response = http_response
         if self.close_connection:
-            response.force_close()
+            http_response.force_close()
 
 
 class Listeners:
@@ -200,23 +212,27 @@
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
         arrived_ms = self.clock.now_ms()
-        response = CallerResponse(request, self.leaving)
+        caller_response = CallerResponse(request, self.leaving)
         self.in_progress += 1
         try:
-            await self._respond(request, response, arrived_ms)
+            await self._respond(request, caller_response, arrived_ms)
         except (ConnectionError, asyncio.CancelledError):
-            response.abort()
+            caller_response.abort()
+            raise
+        except Exception:
+            if caller_response.started:
+                caller_response.abort()
             raise
         finally:
             self.in_progress -= 1
-        if response.http_response is None:
+        if caller_response.http_response is None:
             raise ConnectionResetError("the caller closed the connection")
-        return response.http_response
+        return caller_response.http_response
 
     async def _respond(
         self,
         request: web.BaseRequest,
-        response: CallerResponse,
+        caller_response: CallerResponse,
         arrived_ms: int,
     ) -> None:
         limits = self.limits()
@@ -226,43 +242,43 @@
             isinstance(connection, caller_server.CallerConnection)
             and connection.upgraded
         ):
-            response.close_connection = True
+            caller_response.close_connection = True
         if invalid is not None:
-            await self._send_refusal(response, invalid)
+            await self._send_refusal(caller_response, invalid)
             return
         caller_request = self.translator.parse_request(
             request, None, arrived_ms
         )
         if isinstance(caller_request, str):
             await self._send_refusal(
-                response, request_head.bad_request(caller_request)
+                caller_response, request_head.bad_request(caller_request)
             )
             return
         caller_request = request_head.to_origin_form(caller_request)
         if request.body_exists:
             body = await self._read_body(request, caller_request, limits)
             if isinstance(body, outcome.Refusal):
-                response.close_connection = True
-                await self._send_refusal(response, body)
+                caller_response.close_connection = True
+                await self._send_refusal(caller_response, body)
                 return
             caller_request = dataclasses.replace(caller_request, body=body)
-        refusal = await self.pipeline.run(caller_request, response)
+        refusal = await self.pipeline.run(caller_request, caller_response)
         if refusal is None:
             return
         if refusal.status == 404 or refusal.status == 401:
             log.info(
                 "refused", reason=refusal.reason.value, id=caller_request.id
             )
-        if response.started:
-            response.abort()
+        if caller_response.started:
+            caller_response.abort()
         else:
-            await self._send_refusal(response, refusal)
+            await self._send_refusal(caller_response, refusal)
 
     async def _send_refusal(
-        self, response: CallerResponse, refusal: outcome.Refusal
+        self, caller_response: CallerResponse, refusal: outcome.Refusal
     ) -> None:
         self.telemetry.count_refusal(refusal)
-        await response.refuse(refusal)
+        await caller_response.refuse(refusal)
 
     async def _read_body(
         self,
--- a/oleanderbay/gateway/response.py
+++ b/oleanderbay/gateway/response.py
@@ -6,6 +6,10 @@
 import multidict
 
 
+class ResponseStartedError(Exception):
+    """A second head was to be written into a response that has begun."""
+
+
 class ResponseSink(Protocol):
     """Receives the response to one caller.
 
@@ -18,7 +22,11 @@
     async def begin(
         self, status: int, headers: "multidict.CIMultiDict[str]"
     ) -> None:
-        """Writes the head of a response of unknown length."""
+        """Writes the head of a response of unknown length.
+
+        Raises:
+            ResponseStartedError: The response has begun.
+        """
         ...
 
     async def write(self, data: bytes) -> None:
@@ -32,7 +40,11 @@
     async def send_complete(
         self, status: int, headers: "multidict.CIMultiDict[str]", body: bytes
     ) -> None:
-        """Writes a complete response."""
+        """Writes a complete response.
+
+        Raises:
+            ResponseStartedError: The response has begun.
+        """
         ...
 
 
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -40,9 +40,11 @@
         self.status = None
         self.body = b""
         self.complete = False
+        self.heads = 0
 
     async def begin(self, status, headers):
         self.started, self.status = True, status
+        self.heads += 1
 
     async def write(self, data):
         self.body += data
@@ -151,10 +153,12 @@
         harness.gateway.add(
             parts.worker(worker.id, address=worker.address, slots=4, zone=zone)
         )
-    yield harness
-    await harness.sender.close()
-    for worker in harness.workers:
-        await worker.close()
+    try:
+        yield harness
+    finally:
+        await harness.sender.close()
+        for worker in harness.workers:
+            await worker.close()
 
 
 @pytest.mark.parametrize("path", ["/whole", "/stream"])
