Answer callers of entries only with responses that name their request

Cause: entries reused connections to plain services without any check of what came on them. A second copy of an answer, sent late on a connection that was in use again, answered the next caller, and an earlier refusal told it that its request had not run. The same happened with a copy that arrived while the connection was idle.

Change: an answer on a connection that was used before must carry the id of the request; another one is a failed attempt with an unknown outcome, which is retried on a new connection and does not exclude the upstream. Upstreams whose answers don't carry the id get a new connection for each request. An answer to a caller refuses a second head.

Callers saw the answer to another caller's request, and "not-run" for requests that an upstream was running.

--- a/oleanderbay/connection/http.py
+++ b/oleanderbay/connection/http.py
@@ -30,6 +30,10 @@
     """A request body is larger than allowed."""
 
 
+class AnswerStartedError(Exception):
+    """A second head was to be written into an answer that has begun."""
+
+
 class BodyCutOffError(Exception):
     """The caller went away in the middle of its request body."""
 
@@ -125,7 +129,13 @@
         headers: Mapping[str, str],
         known: outcome.Outcome = outcome.Outcome.ANSWERED,
     ) -> None:
-        """Writes the head of the answer."""
+        """Writes the head of the answer.
+
+        Raises:
+            AnswerStartedError: The answer has begun.
+        """
+        if self.started:
+            raise AnswerStartedError
         response = web.StreamResponse(status=status, headers=headers)
         response.headers[caller.REQUEST_ID] = self.request_id
         response.headers[caller.OUTCOME] = known.value
@@ -149,7 +159,11 @@
         body: bytes,
         known: outcome.Outcome = outcome.Outcome.ANSWERED,
     ) -> None:
-        """Writes a complete answer."""
+        """Writes a complete answer.
+
+        Raises:
+            AnswerStartedError: The answer has begun.
+        """
         merged = multidict.CIMultiDict(headers)
         if self.request.method != "HEAD" and status not in (204, 304):
             merged["Content-Length"] = str(len(body))
--- a/oleanderbay/connection/upstream.py
+++ b/oleanderbay/connection/upstream.py
@@ -15,6 +15,9 @@
 from oleanderbay.process import watch
 
 READ_BUFFER_BYTES = 16_384
+# Bounds the memory for upstreams that are gone; an upstream that is forgotten
+# gets one new connection.
+MAX_NAMING_UPSTREAMS = 16_384
 
 
 class UpstreamError(Exception):
@@ -158,7 +161,9 @@
 
     Calls that must not run twice always get a new connection: one that has
     been idle may be dead without either end knowing, and its request could
-    not be sent again.
+    not be sent again. So do all calls to an upstream whose answers do not name
+    their requests: nothing else tells a late answer to an earlier request from
+    the right one.
     """
 
     def __init__(
@@ -170,6 +175,8 @@
         self.config = config
         self.clock = clock
         self.deadlines = deadlines
+        # Addresses of upstreams whose last answer named its request.
+        self._naming: set[str] = set()
         self.pooled: aiohttp.ClientSession | None = None
         self.single: aiohttp.ClientSession | None = None
 
@@ -219,6 +226,7 @@
         Raises:
             UpstreamError: With whether any byte may have left.
         """
+        new_connection = new_connection or address not in self._naming
         session = self.single if new_connection else self.pooled
         assert session is not None
         progress = Progress()
@@ -246,6 +254,15 @@
             ) from error
         return Exchange(response, progress, self.clock)
 
+    def record_naming(self, address: str, names_request: bool) -> None:
+        """Records whether an answer of an upstream named its request."""
+        if not names_request:
+            self._naming.discard(address)
+            return
+        if len(self._naming) >= MAX_NAMING_UPSTREAMS:
+            self._naming.clear()
+        self._naming.add(address)
+
     def _session(self, connector: aiohttp.TCPConnector) -> Any:
         trace = aiohttp.TraceConfig()
         trace.on_request_headers_sent.append(_on_sent)
--- a/oleanderbay/request/attempt.py
+++ b/oleanderbay/request/attempt.py
@@ -70,12 +70,16 @@
         unreachable: Whether the request can't have left this entry, e.g.
             because no connection could be made.
         stalled: Whether the connection timed out without receiving data.
+        stale_connection: Whether a connection that had been used before
+            carried bytes that belong to another request, which says nothing
+            about the upstream.
     """
 
     outcome: outcome.Outcome
     message: str
     unreachable: bool = False
     stalled: bool = False
+    stale_connection: bool = False
 
 
 async def send_request(
@@ -133,15 +137,26 @@
             unreachable=not error.sent,
             stalled=error.stalled,
         )
-    return await _classify_response(exchange, call)
+    names_request = (
+        exchange.headers.get(callers.REQUEST_ID) == call.context.request_id
+    )
+    client.record_naming(upstream.address, names_request)
+    return _classify_response(exchange, call, names_request)
 
 
-async def _classify_response(
-    exchange: connections.Exchange, call: CallerRequest
+def _classify_response(
+    exchange: connections.Exchange, call: CallerRequest, names_request: bool
 ) -> connections.Exchange | FailedAttempt:
     """Returns a usable response, or a failure if the upstream failed."""
     refused = exchange.headers.get(callers.OUTCOME) == outcome.Outcome.NOT_RUN
     model = call.service.kind is resources.ServiceKind.MODEL
+    if exchange.progress.reused and not names_request:
+        exchange.abort()
+        return FailedAttempt(
+            outcome=outcome.Outcome.UNKNOWN,
+            message="the answer does not name the request",
+            stale_connection=True,
+        )
     if refused or (model and exchange.status >= 500):
         failure = FailedAttempt(
             outcome=(
--- a/oleanderbay/request/delivery.py
+++ b/oleanderbay/request/delivery.py
@@ -120,7 +120,8 @@
                 return await self._relay_stream(
                     response, run, run.event_filter, sink
                 )
-            if run.event_filter is not None and run.event_filter.next_position:
+            if sink.started:
+                # A head and a body can't follow what the caller has received.
                 return _failure("the stream can't be resumed here")
             return await self._relay_body(response, run, sink)
         except connections.UpstreamError as error:
--- a/oleanderbay/request/pipeline.py
+++ b/oleanderbay/request/pipeline.py
@@ -332,6 +332,8 @@
             outcome=failure.outcome.value,
             error=failure.message,
         )
+        if failure.stale_connection:
+            return
         # A stall may be due to a device on the network path that dropped the
         # connection's state, so a stalled upstream gets one more attempt over
         # a new connection.
--- a/oleanderbay/standins/plain.py
+++ b/oleanderbay/standins/plain.py
@@ -124,7 +124,12 @@
         ).encode()
         if self.spend("truncate"):
             return await self._truncated(request, answer)
-        return web.Response(body=answer, content_type="application/json")
+        request_id = request.headers.get("Oleanderbay-Request-Id", "")
+        return web.Response(
+            body=answer,
+            content_type="application/json",
+            headers={"Oleanderbay-Request-Id": request_id},
+        )
 
     def _run(self, request: web.Request, body: bytes) -> int:
         self.executions.append(
