Check a worker again that breaks off a request as its check ends

Cause: a check that has ended is forgotten one turn of the event loop later. A break in between found the ended check, so no new one started: the crash did not count against that request, and its entry stayed until the next break.

Change: a task that has ended does not keep another one with its key from starting, and its late clean-up leaves the new one alone.

Measured: the test breaks off a request in that turn; it failed before. Callers of other requests could lose one more worker to the same request.

--- a/oleanderbay/gateway/tasks.py
+++ b/oleanderbay/gateway/tasks.py
@@ -22,18 +22,21 @@
 
     def running(self, key: object) -> bool:
         """Whether a task with this key is running."""
-        return key in self._tasks
+        task = self._tasks.get(key)
+        # A task that has ended is forgotten in a later turn of the loop only.
+        return task is not None and not task.done()
 
     def start(self, key: object, coroutine: Coroutine[Any, Any, None]) -> None:
         """Runs a task unless one with the same key is running."""
-        if key in self._tasks:
+        if self.running(key):
             coroutine.close()
             return
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks[key] = task
 
         def on_done(task: asyncio.Task[None]) -> None:
-            self._tasks.pop(key, None)
+            if self._tasks.get(key) is task:
+                del self._tasks[key]
             if task.cancelled() or task.exception() is None:
                 return
             error = task.exception()
--- a/tests/gateway/test_crash_detection.py
+++ b/tests/gateway/test_crash_detection.py
@@ -52,6 +52,27 @@
     assert tested.crashes == [("w", {"a", "b"})]
 
 
+async def test_a_request_broken_off_as_a_check_ends_gets_its_own_check():
+    """Its crash did not count against it, and it went to further workers."""
+    tested = Detector(ConnectionRefusedError(), ConnectionRefusedError())
+    worker = parts.worker("w")
+    record = tested.detector.record_crash
+
+    def record_and_break(crashed, requests):
+        record(crashed, requests)
+        if "b" not in requests:
+            # Runs after the check and before the callback for its end.
+            asyncio.get_running_loop().call_soon(
+                tested.detector.check, worker, "b"
+            )
+
+    tested.detector.record_crash = record_and_break
+    tested.detector.check(worker, "a")
+    for _ in range(2):
+        await tested.clock.advance(sum(crash_detection.CHECK_DELAYS_MS))
+    assert tested.crashes == [("w", {"a"}), ("w", {"b"})]
+
+
 @pytest.mark.parametrize(
     "result", [None, ConnectionResetError(), TimeoutError(), OSError()]
 )
