Use a new connection for a request whose id was sent before

Cause: on a connection that was used before, only the id tells a late answer from the right one. Callers may use an id again, for instance to retry. Then a second copy of the first answer, or of a refusal, was taken for the answer to the retry: it got an old answer, or "not run" for a request that was running. A 421 was taken for a refusal whatever id it named.

Change: a request whose id is among the last 2,048 that the gateway has sent gets a new connection. An answer that names another request is unusable before its status counts, also for 421.

Callers saw old answers, and promises that did not hold, if they used an id twice within the time for which a connection is kept.

--- a/oleanderbay/gateway/worker_client.py
+++ b/oleanderbay/gateway/worker_client.py
@@ -14,6 +14,7 @@
     aiohttp_internals,
     connection_pool,
     interfaces,
+    recent_ids,
     settings,
     worker_connection,
     workers,
@@ -28,6 +29,8 @@
 # buffer. A larger one could remain unacknowledged until a busy worker reads,
 # which looks like a lost connection.
 MAX_REUSE_BODY_BYTES = 32_768
+# Number of requests within which a repeated id is noticed.
+RECENT_IDS = 2_048
 # Headers that aiohttp must not add to a request by itself.
 SKIPPED_AUTO_HEADERS = (
     "User-Agent",
@@ -227,6 +230,7 @@
         self.clock = clock
         self.pool = pool
         self.telemetry = telemetry
+        self._recent_ids = recent_ids.RecentIds(RECENT_IDS)
         self._session: aiohttp.ClientSession | None = None
         self._expiry_task: asyncio.Task[None] | None = None
 
@@ -272,16 +276,19 @@
             caller_request: The request.
             headers: Headers to send.
             limit_ms: Timeout for the head of the response.
-            reuse: Whether an idle connection may be used. The worker may close
-                such a connection while the request arrives; then it is unknown
+            reuse: Whether an idle connection may be used, if the id of the
+                request has not been sent recently. The worker may close such a
+                connection while the request arrives; then it is unknown
                 whether the request was executed.
 
         Raises:
             AttemptError: The worker sent no usable response head.
         """
-        reuse = (
-            reuse and len(caller_request.body or b"") <= MAX_REUSE_BODY_BYTES
-        )
+        # A late answer to an earlier request on an idle connection can be told
+        # by its id only, so a request with the same id needs a new connection.
+        is_new = self._recent_ids.add(caller_request.id)
+        body_bytes = len(caller_request.body or b"")
+        reuse = reuse and is_new and body_bytes <= MAX_REUSE_BODY_BYTES
         idle = self.pool.acquire(worker) if reuse else None
         token = _IDLE_CONNECTION.set(idle)
         response = None
--- a/oleanderbay/platform/http_headers.py
+++ b/oleanderbay/platform/http_headers.py
@@ -93,11 +93,11 @@
         headers: Mapping[str, str],
     ) -> interfaces.ResponseClass:
         """Classifies a worker's response by its status and headers."""
-        if status == 421:
-            return interfaces.ResponseClass.OTHER_WORKER
         echoed = headers.get(names.REQUEST_ID, "")
         if echoed and echoed != request.id:
             return interfaces.ResponseClass.UNUSABLE
+        if status == 421:
+            return interfaces.ResponseClass.OTHER_WORKER
         if names.NOT_EXECUTED in headers:
             return interfaces.ResponseClass.NOT_RUN
         if 200 <= status < 300:
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from oleanderbay.gateway import table
 from oleanderbay.platform import names
 from tests.gateway import parts, scripted_worker, test_pipeline
 from tests.gateway.scripted_worker import (
@@ -246,3 +247,88 @@
         assert caller.complete and caller.body == events(0, 5)
         assert not harness.workers[1].received
         assert not harness.gateway.worker_health.suspected_workers()
+
+
+def refusal(status, **changes):
+    """Returns the refusal of a request that did not run."""
+    return answer(
+        b"busy",
+        *scripted_worker.NOT_EXECUTED,
+        status=status,
+        sealed=False,
+        **changes,
+    )
+
+
+LATE = {
+    f"{name} {kind}": (late, kind)
+    for kind, request_id in (("old id", "r1"), ("no id", None), ("same id", ""))
+    for name, late in (
+        ("answer", answer(b"first", request_id=request_id)),
+        ("503", refusal(503, request_id=request_id)),
+        ("429", refusal(429, request_id=request_id)),
+        ("421", refusal(421, request_id=request_id)),
+        ("404", answer(b"first", status=404, request_id=request_id)),
+    )
+}
+
+
+# A worker wrote an answer or a refusal once more on a kept connection: callers
+# got the answer to another request, or "not run" for one that was running.
+@pytest.mark.parametrize("late", LATE)
+@pytest.mark.parametrize("moment", ["idle", "head", "body", "with answer"])
+async def test_a_late_answer_does_not_answer_the_next_request(late, moment):
+    late, kind = LATE[late]
+
+    async def first(request, writer):
+        writer.write(request.fill_in(answer(b"first")))
+        await writer.drain()
+        if moment == "idle":
+            # The gateway sees these bytes before it sends the next request.
+            await asyncio.sleep(0.02)
+            writer.write(request.fill_in(late))
+            await writer.drain()
+
+    async def second(request, writer):
+        if request.connection == 0:
+            writer.write(request.fill_in(late))
+            if moment != "with answer":
+                await writer.drain()
+                await asyncio.sleep(0.02)
+        return answer(b"second")
+
+    changes = {"id": "r1"} if kind == "same id" else {}
+    async with running_pipeline((first, second, second, second)) as harness:
+        (worker,) = harness.workers
+        worker.answers_heads = moment == "head"
+        assert (await harness.call(id="r1")).body == b"first"
+        await asyncio.sleep(0.05)
+        caller = await harness.call(**(changes or {"id": "r2"}))
+        assert (caller.status, caller.body) == (200, b"second")
+        assert caller.complete and caller.heads == 1
+
+
+@pytest.mark.parametrize("kind", ["IDEMPOTENT", "NON_IDEMPOTENT"])
+@pytest.mark.parametrize("status", [421, 429, 503])
+async def test_a_refusal_of_another_request_is_no_promise(status, kind):
+    """It may stand for a request that runs, even on a new connection."""
+    late = refusal(status, request_id="another")
+    async with running_pipeline(
+        (late,) * 5,
+        (late,) * 5,
+        max_attempts=2,
+        kind=table.RouteKind[kind],
+    ) as harness:
+        caller = await harness.call()
+        assert caller.status == 502
+        sent = sum(len(worker.received) for worker in harness.workers)
+        assert sent == (2 if kind == "IDEMPOTENT" else 1)
+
+
+async def test_answers_in_one_read_are_told_apart():
+    """The surplus answer must neither be used nor spoil the right one."""
+    both = answer(b"first") + answer(b"first", request_id="r0")
+    async with running_pipeline((both, answer(b"second"))) as harness:
+        assert (await harness.call()).body == b"first"
+        assert (await harness.call()).body == b"second"
+        assert [r.connection for r in harness.workers[0].received] == [0, 1]
--- a/tests/gateway/test_connection_pool.py
+++ b/tests/gateway/test_connection_pool.py
@@ -73,6 +73,7 @@
         self.worker = worker
         self.clock = clock
         self.record = None
+        self.requests = 0
         self.client = parts.make_client(clock, lambda _: self.record, **changes)
 
     @property
@@ -80,8 +81,9 @@
         return sum(map(len, self.client.pool.idle.values()))
 
     async def open(self, reuse=True, body=b"body", method="POST"):
+        self.requests += 1
         caller_request = interfaces.CallerRequest(
-            id="r1",
+            id=f"r{self.requests}",
             method=method,
             host="api",
             target="/a",
