Answer all accepted requests before an entry stops

An entry that stopped looked only at requests whose head it had read; connections that waited to be accepted, unread requests on kept connections and heads that had arrived in part were cut off.

Change: an entry that stops accepts what callers have connected, closes each connection after its next answer, and waits until none carries a request, for a part of a head at most 5 s. The undocumented names of the HTTP library and the polling of sockets are shared by entries and gateways in `connection`.

Measured: the new test fails with the former wait (seven requests in three states) and passes now. Callers saw a reset or the end of their connection without an answer.

--- a/oleanderbay/connection/http.py
+++ b/oleanderbay/connection/http.py
@@ -1,13 +1,14 @@
 """HTTP towards callers: hop-by-hop headers, bodies and answers."""
 
+import asyncio
 import json
 from collections.abc import AsyncIterator, Mapping
 from typing import Any
 
 import multidict
-from aiohttp import web
+from aiohttp import streams, web
 
-from oleanderbay.connection import caller
+from oleanderbay.connection import aiohttp_internals, caller, sockets
 from oleanderbay.request import outcome
 
 # What this system says itself; a caller can't say it to an upstream.
@@ -109,13 +110,20 @@
     Attributes:
         started: Whether the head has been written.
         response: What aiohttp needs at the end of the handler.
+        close_connection: Whether the connection ends with the answer.
     """
 
-    __slots__ = ("request", "request_id", "response")
+    __slots__ = ("close_connection", "request", "request_id", "response")
 
-    def __init__(self, request: web.BaseRequest, request_id: str) -> None:
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        close_connection: bool = False,
+    ) -> None:
         self.request = request
         self.request_id = request_id
+        self.close_connection = close_connection
         self.response: web.StreamResponse | None = None
 
     @property
@@ -139,6 +147,8 @@
         response = web.StreamResponse(status=status, headers=headers)
         response.headers[caller.REQUEST_ID] = self.request_id
         response.headers[caller.OUTCOME] = known.value
+        if self.close_connection:
+            response.force_close()
         self.response = response
         await response.prepare(self.request)
 
@@ -229,16 +239,67 @@
     )
 
 
-class Server(web.Server):
+class Server(aiohttp_internals.Server):
     """An HTTP server that refuses malformed requests in the usual format."""
 
-    def __call__(self) -> "web.RequestHandler":  # type: ignore[override]
+    def __call__(self) -> "_Connection":
         """Makes the protocol of one connection."""
-        return _Connection(self, loop=self._loop, **self._kwargs)
+        connection = self.create_protocol(_Connection)
+        assert isinstance(connection, _Connection)
+        return connection
+
+    def is_busy(self) -> bool:
+        """Whether any connection carries a request without an answer."""
+        return any(
+            connection.is_busy
+            for connection in self.connections
+            if isinstance(connection, _Connection)
+        )
 
 
-class _Connection(web.RequestHandler):
-    __slots__ = ()
+class _Connection(aiohttp_internals.ServerProtocol):
+    """The server side of a caller's connection.
+
+    Attributes:
+        has_partial_head: Whether a part of a request's head has arrived.
+    """
+
+    __slots__ = ("_body", "has_partial_head")
+
+    def __init__(
+        self,
+        server: Server,
+        loop: asyncio.AbstractEventLoop,
+        options: dict[str, Any],
+    ) -> None:
+        super().__init__(server, loop=loop, **options)
+        self.has_partial_head = False
+        # The body of the most recent request.
+        self._body: streams.StreamReader = streams.EMPTY_PAYLOAD
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request has begun to arrive or is being answered."""
+        return (
+            self.handling_request
+            or self.has_queued_requests
+            or self.has_partial_head
+            or (
+                self.transport is not None
+                and not self.transport.is_closing()
+                and sockets.has_input(self.transport.get_extra_info("socket"))
+            )
+        )
+
+    def data_received(self, data: bytes) -> None:
+        """Parses data and notes whether it leaves a part of a head."""
+        count, had_whole_body = self.parsed_count, self._body.is_eof()
+        super().data_received(data)
+        if self.parsed_count == count:
+            self.has_partial_head = had_whole_body
+        else:
+            self.has_partial_head = False
+            _, self._body = self.last_parsed
 
     def handle_error(
         self,
--- a/oleanderbay/gateway/caller_server.py
+++ b/oleanderbay/gateway/caller_server.py
@@ -2,16 +2,14 @@
 
 import asyncio
 import contextlib
-import select
-import socket
-from asyncio import trsock
 from collections.abc import Callable
 from typing import Any
 
 import structlog
 from aiohttp import http_exceptions, streams, web
 
-from oleanderbay.gateway import aiohttp_internals, request_head, table
+from oleanderbay.connection import aiohttp_internals, sockets
+from oleanderbay.gateway import request_head, table
 from oleanderbay.gateway import telemetry as telemetry_module
 from oleanderbay.process import clock as clocks
 from oleanderbay.request import outcome
@@ -168,7 +166,7 @@
             or (
                 self.transport is not None
                 and not self.transport.is_closing()
-                and has_input(self.transport.get_extra_info("socket"))
+                and sockets.has_input(self.transport.get_extra_info("socket"))
             )
         )
 
@@ -333,14 +331,3 @@
         response = request_head.refusal_response(refusal)
         response.force_close()
         return response
-
-
-def has_input(sock: socket.socket | trsock.TransportSocket) -> bool:
-    """Whether a socket has something to read or to accept.
-
-    Polls the socket, because the event loop may not have processed its events
-    yet.
-    """
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
--- a/oleanderbay/gateway/listener.py
+++ b/oleanderbay/gateway/listener.py
@@ -12,6 +12,7 @@
 import structlog
 from aiohttp import web
 
+from oleanderbay.connection import sockets
 from oleanderbay.gateway import (
     caller_server,
     interfaces,
@@ -30,8 +31,6 @@
 KEEPALIVE_S = 600
 BACKLOG = 1_024
 DRAIN_POLL_MS = 50
-# Turns of the event loop that asyncio takes to accept a connection.
-ACCEPT_TURNS = 3
 # Time in which refusals at the end of a planned stop reach their callers.
 REFUSAL_MS = 200
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -199,29 +198,14 @@
             end_ms: Monotonic time at which requests that still wait for a
                 worker are refused.
         """
-        await self._accept_pending()
         if self._caller_sockets is not None:
+            await sockets.accept_pending(self._caller_sockets)
             self._caller_sockets.close()
         if await self._wait_until_idle(end_ms):
             return
         self.pipeline.stop_waiting()
         await self._wait_until_idle(self.clock.now_ms() + REFUSAL_MS)
 
-    async def _accept_pending(self) -> None:
-        """Accepts the connections that callers have opened.
-
-        Closing the listening socket would reset them.
-        """
-        if self._caller_sockets is None:
-            return
-        pending = True
-        while pending:
-            pending = any(
-                map(caller_server.has_input, self._caller_sockets.sockets)
-            )
-            for _ in range(ACCEPT_TURNS):
-                await clocks.next_turn()
-
     async def _wait_until_idle(self, end_ms: int) -> bool:
         """Waits until no request is left; returns whether that was in time."""
         while self._caller_server is not None and self._caller_server.is_busy():
@@ -234,8 +218,8 @@
         """Closes all connections after their requests, within a time limit."""
         if self._caller_sockets is not None:
             self._caller_sockets.close()
-        for sockets in self._internal_sockets:
-            sockets.close()
+        for server_sockets in self._internal_sockets:
+            server_sockets.close()
         for server in (self._caller_server, self._internal_server):
             if server is not None:
                 await server.shutdown(limit_ms / 1000)
--- a/oleanderbay/gateway/worker_client.py
+++ b/oleanderbay/gateway/worker_client.py
@@ -10,8 +10,8 @@
 import multidict
 from aiohttp import connector as connectors
 
+from oleanderbay.connection import aiohttp_internals
 from oleanderbay.gateway import (
-    aiohttp_internals,
     connection_pool,
     interfaces,
     recent_ids,
--- a/oleanderbay/gateway/worker_connection.py
+++ b/oleanderbay/gateway/worker_connection.py
@@ -9,7 +9,8 @@
 import aiohttp
 import multidict
 
-from oleanderbay.gateway import aiohttp_internals, workers
+from oleanderbay.connection import aiohttp_internals
+from oleanderbay.gateway import workers
 from oleanderbay.process import clock as clocks
 
 # Ends the head of a response, and the last chunk of its body.
--- a/oleanderbay/process/entry.py
+++ b/oleanderbay/process/entry.py
@@ -254,6 +254,7 @@
         while self.clock.now_ms() < until_ms and not over():
             await self.clock.sleep_ms(SHUTDOWN_STEP_MS)
         self.closing = True
+        await self.serving.listener.drain(over)
         while self.serving.in_progress and not over():
             await self.clock.sleep_ms(SHUTDOWN_STEP_MS)
         cut_off = self.serving.in_progress
--- a/oleanderbay/process/serving/callers.py
+++ b/oleanderbay/process/serving/callers.py
@@ -1,5 +1,6 @@
 """HTTP listener for requests from callers."""
 
+import asyncio
 import json
 import re
 import urllib.parse
@@ -10,7 +11,7 @@
 import structlog
 from aiohttp import web
 
-from oleanderbay.connection import caller, hops, http
+from oleanderbay.connection import caller, hops, http, sockets
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces, watch
 from oleanderbay.process import settings as settings_module
@@ -19,6 +20,12 @@
 from oleanderbay.version import resources, routes
 
 MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
+BACKLOG = 1_024
+# How long a stop waits for the rest of a head, and how often it looks.
+PARTIAL_HEAD_MS = 5_000
+DRAIN_STEP_MS = 50
+# Time that handlers get to end once all connections are closed.
+SHUTDOWN_LIMIT_S = 1.0
 _PLAIN_PATH = re.compile(r"/s/([^/?]+)(/[^?]*)?(\?.*)?")
 
 log = structlog.get_logger()
@@ -30,6 +37,7 @@
     Attributes:
         port: TCP port; after the start, the one that is bound.
         in_progress: Number of requests without a complete response.
+        draining: Whether connections are closed after their next response.
     """
 
     def __init__(
@@ -66,7 +74,8 @@
         self.port = config.port
         self.in_progress = 0
         self.server: http.Server | None = None
-        self.runner: web.ServerRunner | None = None
+        self.sockets: asyncio.Server | None = None
+        self.draining = False
 
     async def on_start(self) -> None:
         """Binds the port and starts accepting connections."""
@@ -80,21 +89,39 @@
             max_line_size=self.config.max_header_bytes,
             max_field_size=self.config.max_header_bytes,
         )
-        self.runner = web.ServerRunner(self.server, shutdown_timeout=1.0)
-        await self.runner.setup()
-        site = web.TCPSite(
-            self.runner, self.config.host, self.config.port, backlog=1024
+        self.sockets = await asyncio.get_running_loop().create_server(
+            self.server, self.config.host, self.config.port, backlog=BACKLOG
         )
-        await site.start()
-        self.port = self.runner.addresses[0][1]
+        self.port = self.sockets.sockets[0].getsockname()[1]
+
+    async def drain(self, is_over: Callable[[], bool]) -> None:
+        """Answers what callers have sent, then stops accepting connections.
+
+        Args:
+            is_over: Returns whether the wait must end.
+        """
+        if self.server is None or self.sockets is None:
+            return
+        self.draining = True
+        await sockets.accept_pending(self.sockets)
+        self.sockets.close()
+        until_ms = self.clock.now_ms() + PARTIAL_HEAD_MS
+        while not is_over() and (
+            self.in_progress
+            or (self.server.is_busy() and self.clock.now_ms() < until_ms)
+        ):
+            await self.clock.sleep_ms(DRAIN_STEP_MS)
 
     async def on_stop(self) -> None:
         """Stops listening and closes all connections."""
-        if self.runner is not None:
-            await self.runner.cleanup()
+        if self.sockets is not None:
+            self.sockets.close()
+        if self.server is not None:
+            self.server.pre_shutdown()
+            await self.server.shutdown(SHUTDOWN_LIMIT_S)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        response = http.Answer(request, caller.new_request_id())
+        response = http.Answer(request, caller.new_request_id(), self.draining)
         self.in_progress += 1
         try:
             refusal = await self._route(request, response)
--- a/tests/gateway/test_aiohttp_internals.py
+++ b/tests/connection/test_aiohttp_internals.py
@@ -10,7 +10,7 @@
 import yarl
 from aiohttp import client_proto, web
 
-from oleanderbay.gateway import aiohttp_internals
+from oleanderbay.connection import aiohttp_internals
 
 
 async def create_objects():
@@ -42,11 +42,19 @@
 
 @pytest.mark.parametrize(
     "module",
-    ["caller_server", "worker_connection", "connection_pool", "worker_client"],
+    [
+        "connection/http",
+        "gateway/caller_server",
+        "gateway/connection_pool",
+        "gateway/worker_client",
+        "gateway/worker_connection",
+        "process/serving/callers",
+    ],
 )
 def test_other_modules_do_not_use_the_names(module):
     """A use elsewhere would not be covered by the test above."""
-    path = pathlib.Path(aiohttp_internals.__file__).with_name(f"{module}.py")
+    package = pathlib.Path(aiohttp_internals.__file__).parents[1]
+    path = package / f"{module}.py"
     used = {
         node.attr
         for node in ast.walk(ast.parse(path.read_text()))
--- a/tests/process/serving/test_callers.py
+++ b/tests/process/serving/test_callers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import os
+import socket
 
 import hypothesis
 import multidict
@@ -319,3 +321,69 @@
             assert response[0] == 200
 
     asyncio.run(run())
+
+
+PLAIN_REQUEST = (
+    b"GET /s/plain/x HTTP/1.1\r\nHost: h\r\n"
+    b"Oleanderbay-Fleet: fleet\r\nOleanderbay-Team: team\r\n\r\n"
+)
+
+
+async def _read_to_end(reader):
+    async with asyncio.timeout(20):
+        return await reader.read()
+
+
+# During a planned stop under load, requests that had just been accepted were
+# cut off without an answer.
+async def test_a_stop_answers_what_callers_have_sent():
+    async with (
+        serving_path.running() as path,
+        serving_path.plain_service(path) as service,
+    ):
+        host, port = path.address.split(":")
+        kept_reader, kept_writer = await asyncio.open_connection(host, port)
+        kept_writer.write(PLAIN_REQUEST)
+        assert b"200" in await kept_reader.readuntil(b"\r\n\r\n")
+        part_reader, part_writer = await asyncio.open_connection(host, port)
+        part_writer.write(PLAIN_REQUEST[:30])
+        await asyncio.sleep(0.05)
+        # These bytes and connections come before the event loop runs again.
+        kept_socket = kept_writer.get_extra_info("socket")
+        os.write(kept_socket.fileno(), PLAIN_REQUEST)
+        pending = [
+            socket.create_connection((host, int(port))) for _ in range(5)
+        ]
+        for one in pending:
+            one.sendall(PLAIN_REQUEST)
+            one.setblocking(False)
+        stop = asyncio.create_task(path.served.listener.drain(lambda: False))
+        await asyncio.sleep(0.1)
+        part_writer.write(PLAIN_REQUEST[30:])
+        await stop
+        await path.served.listener.on_stop()
+        assert b"HTTP/1.1 200" in await _read_to_end(kept_reader)
+        assert b"HTTP/1.1 200" in await _read_to_end(part_reader)
+        for one in pending:
+            reader, writer = await asyncio.open_connection(sock=one)
+            answer = await _read_to_end(reader)
+            assert answer.startswith(b"HTTP/1.1 200")
+            assert b"Connection: close" in answer
+            writer.close()
+        assert len(service.executions) == 8
+        kept_writer.close()
+        part_writer.close()
+
+
+async def test_a_stop_does_not_wait_for_a_head_without_end():
+    """A caller that sends half a head must not hold up the stop."""
+    async with serving_path.running() as path:
+        host, port = path.address.split(":")
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(PLAIN_REQUEST[:30])
+        await asyncio.sleep(0.05)
+        async with asyncio.timeout(20):
+            await path.served.listener.drain(lambda: False)
+        await path.served.listener.on_stop()
+        assert await _read_to_end(reader) == b""
+        writer.close()
