Check the ownership of a domain right before an order is written

Cause: the owner of a domain checked its ownership and fence, then opened a connection to the worker. If the process stood still in between, it wrote the order after its ownership had run out and another gateway had taken over. Workers that check fences refuse such an order if the new owner's came first; others carry it out.

Orders require that the gateway still owns the domain in the same generation.

Operators could see two gateways order a worker around a hand-over.

--- /dev/null
+++ b/oleanderbay/connection/permissions.py
@@ -0,0 +1,43 @@
+"""Permissions that must still hold when a request is written to a connection.
+
+A process may be paused or delayed between the check of a permission and the
+write that depends on it, for instance while a connection is opened.
+"""
+
+import contextlib
+import contextvars
+from collections.abc import Callable, Iterator
+
+
+class PermissionExpiredError(Exception):
+    """The permission for a request ran out before the request was written."""
+
+
+_HOLDS: contextvars.ContextVar[Callable[[], bool] | None] = (
+    contextvars.ContextVar("permission", default=None)
+)
+
+
+@contextlib.contextmanager
+def required(holds: Callable[[], bool]) -> Iterator[None]:
+    """Requires a permission for the requests that the current task sends.
+
+    Args:
+        holds: Returns whether the permission holds at this moment.
+    """
+    token = _HOLDS.set(holds)
+    try:
+        yield
+    finally:
+        _HOLDS.reset(token)
+
+
+def check() -> None:
+    """Checks the permission of the current task, if one is required.
+
+    Raises:
+        PermissionExpiredError: It no longer holds.
+    """
+    holds = _HOLDS.get()
+    if holds is not None and not holds():
+        raise PermissionExpiredError
--- a/oleanderbay/gateway/fenced_orders.py
+++ b/oleanderbay/gateway/fenced_orders.py
@@ -1,7 +1,9 @@
 """Sends fenced orders to workers and retries them until accepted."""
 
+import functools
 from collections.abc import Awaitable, Callable
 
+from oleanderbay.connection import permissions
 from oleanderbay.gateway import domain_ownership, interfaces, probing, workers
 from oleanderbay.process import clock as clocks
 
@@ -45,10 +47,12 @@
         for attempt in range(MAX_ORDER_ATTEMPTS):
             if attempt:
                 await self.clock.sleep_ms(ORDER_RETRY_DELAY_MS)
-            if not self.ownership.owns(f"{worker.service}/{worker.domain}"):
-                raise OrderError("the domain has another owner")
             generation = self.ownership.generation
-            result = await order(generation)
+            owns = functools.partial(self._owns, worker, generation)
+            if not owns():
+                raise OrderError("the domain has another owner")
+            with permissions.required(owns):
+                result = await order(generation)
             if result in ACCEPTED:
                 return
             if result is interfaces.OrderResult.FENCED:
@@ -60,3 +64,10 @@
         raise OrderError(
             f"worker {worker.id} did not accept the order: {result.value}"
         )
+
+    def _owns(self, worker: workers.Worker, generation: int) -> bool:
+        """Whether an order with the fence of a generation may be sent now."""
+        return (
+            self.ownership.owns(f"{worker.service}/{worker.domain}")
+            and self.ownership.generation == generation
+        )
--- a/oleanderbay/gateway/interfaces.py
+++ b/oleanderbay/gateway/interfaces.py
@@ -150,6 +150,7 @@
         REFUSED: The worker refused the order, which had no effect.
         UNREACHABLE: No connection could be established.
         UNKNOWN: The order may have taken effect.
+        EXPIRED: The permission for the order ran out before it was sent.
     """
 
     DONE = "done"
@@ -159,6 +160,7 @@
     REFUSED = "refused"
     UNREACHABLE = "unreachable"
     UNKNOWN = "unknown"
+    EXPIRED = "expired"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -1,14 +1,23 @@
 """Tests of the HTTP orders client against a simulated worker."""
 
+import asyncio
 import contextlib
+from unittest import mock
 
 import pytest
 from aiohttp import web
 
-from oleanderbay.gateway import interfaces, workers
+from oleanderbay.connection import permissions
+from oleanderbay.gateway import (
+    domain_ownership,
+    fenced_orders,
+    interfaces,
+    workers,
+)
 from oleanderbay.platform import orders
 from oleanderbay.process import clock as clocks
 from oleanderbay.standins import group_worker, server
+from tests.gateway import parts
 from tests.platform import endless
 
 RESULT = interfaces.OrderResult
@@ -150,3 +159,47 @@
         # The rest of what was sent is in the buffers of the two connections.
         assert endless_server.sent < MAX_SENT_BYTES
     await orders_client.close()
+
+
+# Around a hand-over between two gateways, both acted for a moment: the former
+# owner was paused after its check and before the order was written.
+async def test_an_order_is_not_written_after_a_pause():
+    async with client() as (orders_client, stand_in, _):
+        store, ownership_clock = parts.Store(), clocks.ManualClock()
+        ownership = domain_ownership.DomainOwnership(
+            store, ownership_clock, "g1", 1_400, 500
+        )
+        await ownership.confirm()
+        worker = worker_of(stand_in)
+        sender = fenced_orders.OrderSender(
+            ownership, mock.Mock(), clocks.SystemClock()
+        )
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+
+        async def create_connection(*arguments, **options):
+            created = await connect(*arguments, **options)
+            ownership_clock.set_ms(ownership_clock.now_ms() + 2_000)
+            return created
+
+        def stage(fence):
+            return orders_client.stage_model(worker, fence, "small")
+
+        await sender.send(worker, stage)
+        with (
+            mock.patch.object(loop, "create_connection", create_connection),
+            pytest.raises(fenced_orders.OrderError),
+        ):
+            await sender.send(worker, stage)
+        assert len(stand_in.orders) == 1
+
+
+async def test_an_order_is_not_written_with_an_older_fence():
+    """Orders of two generations would reach a worker in the wrong order."""
+    async with client() as (orders_client, stand_in, _):
+        holds = [True, False]
+        worker = worker_of(stand_in)
+        for _ in range(2):
+            with permissions.required(holds.pop):
+                result = await orders_client.stage_model(worker, 1, "small")
+        assert result is RESULT.BEGUN and len(stand_in.orders) == 1
