Wait for an answer of a peer that is arriving at an entry

Change: a link counts as silent from the last part of a frame on. A request whose time is over is waited for as long as a frame is arriving, and given up once no part of it has come for that time.

--- a/oleanderbay/connection/frames.py
+++ b/oleanderbay/connection/frames.py
@@ -103,6 +103,7 @@
     max_bytes: int = MAX_FRAME_BYTES,
     *,
     silence_s: float | None = None,
+    on_part: Callable[[], None] | None = None,
 ) -> Frame:
     """Reads one frame.
 
@@ -110,6 +111,7 @@
         reader: Incoming stream of the connection.
         max_bytes: Largest content that is accepted.
         silence_s: Longest time without any byte; None for no limit.
+        on_part: Called when a part of the frame has arrived.
 
     Raises:
         TimeoutError: No byte arrived for `silence_s`.
@@ -119,7 +121,7 @@
         FrameMalformedError: The content is not a frame.
     """
     try:
-        prefix = await _read_exactly(reader, _LENGTH.size, silence_s)
+        prefix = await _read_exactly(reader, _LENGTH.size, silence_s, on_part)
     except asyncio.IncompleteReadError as error:
         if error.partial:
             raise FrameTruncatedError("ended in a length prefix") from error
@@ -134,7 +136,7 @@
             f"a frame of {length} bytes exceeds {max_bytes}"
         )
     try:
-        return decode(await _read_exactly(reader, length, silence_s))
+        return decode(await _read_exactly(reader, length, silence_s, on_part))
     except TimeoutError:
         raise
     except (asyncio.IncompleteReadError, OSError) as error:
@@ -142,9 +144,12 @@
 
 
 async def _read_exactly(
-    reader: asyncio.StreamReader, size: int, silence_s: float | None
+    reader: asyncio.StreamReader,
+    size: int,
+    silence_s: float | None,
+    on_part: Callable[[], None] | None,
 ) -> bytes:
-    if silence_s is None:
+    if silence_s is None and on_part is None:
         return await reader.readexactly(size)
     data = bytearray()
     while len(data) < size:
@@ -153,4 +158,6 @@
         if not part:
             raise asyncio.IncompleteReadError(bytes(data), size)
         data += part
+        if on_part is not None:
+            on_part()
     return bytes(data)
--- a/oleanderbay/connection/peer.py
+++ b/oleanderbay/connection/peer.py
@@ -190,7 +190,7 @@
         remote: The peer's handshake.
         dialed: Whether this entry opened the connection.
         attempt: Number of the dial by the end that opened it.
-        received_ms: When the last frame came.
+        received_ms: When the last part of a frame came.
         sent_ms: When the last frame was queued.
         sent_bytes: Bytes queued for writing so far.
         dropped: Messages dropped because the queue was full.
@@ -224,6 +224,7 @@
         self._handler = handler
         self._limits = limits
         self._queue: asyncio.Queue[bytes] = asyncio.Queue(limits.queue_frames)
+        self._receiving = False
         self._next_request = 0
         self._waiting: dict[int, asyncio.Future[Any]] = {}
         self._answering: set[asyncio.Task[None]] = set()
@@ -255,6 +256,12 @@
     async def request(self, kind: str, body: Any, timeout_ms: int) -> Any:
         """Sends a request and returns the answer.
 
+        Args:
+            kind: Kind of the request.
+            body: Its body.
+            timeout_ms: Longest wait; while a frame is arriving, the longest
+                time without any part of it.
+
         Raises:
             LinkError: The link is closed or busy, or the peer refused.
             TimeoutError: No answer came in time.
@@ -269,17 +276,39 @@
             raise LinkBusyError("the send queue is full")
         self._waiting[request_id] = answer
         try:
-            return await deadline.within(self._clock, answer, timeout_ms)
+            return await self._wait_for(answer, timeout_ms)
         finally:
             self._waiting.pop(request_id, None)
 
+    async def _wait_for(
+        self, answer: asyncio.Future[Any], timeout_ms: int
+    ) -> Any:
+        left_ms = timeout_ms
+        while True:
+            try:
+                return await deadline.within(
+                    self._clock, asyncio.shield(answer), left_ms
+                )
+            except TimeoutError:
+                silence_ms = self._clock.now_ms() - self.received_ms
+                if not self._receiving or silence_ms >= timeout_ms:
+                    answer.cancel()
+                    raise
+                left_ms = timeout_ms - silence_ms
+
+    def _record_part(self) -> None:
+        self.received_ms = self._clock.now_ms()
+        self._receiving = True
+
     async def run(self) -> None:
         """Carries messages until the connection ends or is closed."""
         self._writer_task = asyncio.create_task(self._write())
         try:
             while not self.closed:
-                frame = await frames.read(self._reader)
-                self.received_ms = self._clock.now_ms()
+                frame = await frames.read(
+                    self._reader, on_part=self._record_part
+                )
+                self._receiving = False
                 await self._receive(frame)
         except frames.FrameError as error:
             self.end_reason = self.end_reason or str(error)
