Check the lease of an entry right before an order is written

Cause: an entry checked that a group's epoch is the newest and that its lease lasts, then opened a connection to the engine. If the process stood still in between, it wrote an order of an epoch that might have ended.

Change: both checks are made again once the connection is open. An order that is not written for that reason was not sent.

Measured: both new tests fail if the check is left out. Operators could see two entries order an engine around a hand-over.

--- a/oleanderbay/connection/permissions.py
+++ b/oleanderbay/connection/permissions.py
@@ -7,6 +7,10 @@
 import contextlib
 import contextvars
 from collections.abc import Callable, Iterator
+from typing import Any
+
+import aiohttp
+from aiohttp import connector
 
 
 class PermissionExpiredError(Exception):
@@ -41,3 +45,26 @@
     holds = _HOLDS.get()
     if holds is not None and not holds():
         raise PermissionExpiredError
+
+
+class CheckedConnector(aiohttp.TCPConnector):
+    """Checks the permission of the current task once a connection is open."""
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Any],
+        timeout: aiohttp.ClientTimeout,
+    ) -> connector.Connection:
+        """Returns the connection to use for a request.
+
+        Raises:
+            PermissionExpiredError: The request must no longer be sent.
+        """
+        opened = await super().connect(req, traces, timeout)
+        try:
+            check()
+        except PermissionExpiredError:
+            opened.close()
+            raise
+        return opened
--- a/oleanderbay/native/engine_http.py
+++ b/oleanderbay/native/engine_http.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from oleanderbay.connection import permissions
 from oleanderbay.native import interfaces
 
 REPORT_FIELDS = frozenset(
@@ -58,7 +59,7 @@
         self, order: interfaces.Order, timeout_ms: int
     ) -> interfaces.EngineReport:
         """Gives an order over a new connection."""
-        connector = aiohttp.TCPConnector(force_close=True, limit=1)
+        connector = permissions.CheckedConnector(force_close=True, limit=1)
         async with (
             aiohttp.ClientSession(connector=connector) as session,
             Call(
@@ -164,6 +165,10 @@
             raise interfaces.PlatformUnavailableError(
                 f"{self._url}: {error}"
             ) from error
+        except permissions.PermissionExpiredError as error:
+            raise interfaces.PlatformUnavailableError(
+                f"{self._url}: the permission ran out"
+            ) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise self._lost(error) from error
         self.status = self._response.status
--- a/oleanderbay/platform/orders.py
+++ b/oleanderbay/platform/orders.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import aiohttp
-from aiohttp import connector
 
 from oleanderbay.connection import permissions
 from oleanderbay.gateway import interfaces, workers
@@ -26,29 +25,6 @@
 MAX_BODY_BYTES = 65_536
 
 
-class _Connector(aiohttp.TCPConnector):
-    """Opens connections and checks the sender's permission after that."""
-
-    async def connect(
-        self,
-        req: aiohttp.ClientRequest,
-        traces: list[Any],
-        timeout: aiohttp.ClientTimeout,
-    ) -> connector.Connection:
-        """Returns the connection to use for a request.
-
-        Raises:
-            PermissionExpiredError: The request must no longer be sent.
-        """
-        opened = await super().connect(req, traces, timeout)
-        try:
-            permissions.check()
-        except permissions.PermissionExpiredError:
-            opened.close()
-            raise
-        return opened
-
-
 class HttpOrders:
     """Sends orders to workers and reads their reports over HTTP.
 
@@ -65,7 +41,7 @@
     async def start(self) -> None:
         """Opens the client session; requires a running event loop."""
         self._session = aiohttp.ClientSession(
-            connector=_Connector(limit=0, force_close=True),
+            connector=permissions.CheckedConnector(limit=0, force_close=True),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
 
--- a/oleanderbay/process/groups/orders.py
+++ b/oleanderbay/process/groups/orders.py
@@ -5,6 +5,7 @@
 
 import mode
 
+from oleanderbay.connection import permissions
 from oleanderbay.native import interfaces as native
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces
@@ -136,6 +137,10 @@
         age_ms = self._confirmation_age_ms()
         return 0 if age_ms is None else ORDER_LEASE_MS - age_ms
 
+    def _is_newest(self, group: resources.ServingGroup) -> bool:
+        known = self._catalogue.current.get("serving_group", group.id)
+        return known == group
+
     async def _send(self, group: resources.ServingGroup, rank: int) -> None:
         id = group.members[rank]
         engine = self._reports.engine_adapters.get(id)
@@ -157,8 +162,9 @@
             valid_ms=ORDER_MAX_AGE_MS,
         )
         # No await may come between these two checks and the order: after a
-        # long await or a pause of the process, the epoch may be outdated.
-        if self._catalogue.current.get("serving_group", group.id) != group:
+        # long await or a pause of the process, the epoch may be outdated. Both
+        # are made again when the connection is open.
+        if not self._is_newest(group):
             return
         lease_ms = self.remaining_lease_ms()
         if lease_ms <= 0:
@@ -166,9 +172,12 @@
             return
         self._sent[id] = (group.epoch, self._clock.now_ms())
         try:
-            new_report = await engine.order(
-                order, min(ORDER_TIMEOUT_MS, lease_ms)
-            )
+            with permissions.required(
+                lambda: self._is_newest(group) and self.remaining_lease_ms() > 0
+            ):
+                new_report = await engine.order(
+                    order, min(ORDER_TIMEOUT_MS, lease_ms)
+                )
         except native.OrderRefusedError as error:
             self.log.info("%s refused epoch %d: %s", id, group.epoch, error)
         except native.PlatformUnavailableError as error:
--- a/tests/native/test_engine_http.py
+++ b/tests/native/test_engine_http.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from oleanderbay.connection import permissions
 from oleanderbay.native import engine_http, interfaces, weights_http
 from oleanderbay.standins import engine, weights
 from tests.standins.test_engine import ORDER
@@ -56,6 +57,16 @@
     assert (await adapter.report(500)).epoch == 8
 
 
+async def test_an_order_is_not_written_without_permission(standin, adapter):
+    """A lease that ran out while connecting must not lead to an order."""
+    with (
+        permissions.required(lambda: False),
+        pytest.raises(interfaces.PlatformUnavailableError),
+    ):
+        await adapter.order(ORDER, 500)
+    assert standin.role != ORDER
+
+
 async def test_cache_block_moves(standin, adapter):
     """Guards against an import that the cache events do not show."""
     with pytest.raises(interfaces.PlatformError):
--- a/tests/process/engines.py
+++ b/tests/process/engines.py
@@ -1,5 +1,6 @@
 """Engines that a test can stop, delay and cut off, without sockets."""
 
+from oleanderbay.connection import permissions
 from oleanderbay.native import interfaces as native
 from oleanderbay.standins import engine_state
 
@@ -16,6 +17,8 @@
         self.lose_answers = 0
         self.held_orders = []
         self.hold_orders = False
+        # Called while the connection for an order is opened.
+        self.on_connect = lambda: None
 
     def reach(self):
         if self.down:
@@ -54,6 +57,11 @@
 
     async def order(self, order, timeout_ms):
         self._reach()
+        self.target.on_connect()
+        try:
+            permissions.check()
+        except permissions.PermissionExpiredError as error:
+            raise native.PlatformUnavailableError("not sent") from error
         sent = (self.world.clock.now_ms(), order)
         self.world.sent_orders.append((self.target.instance, *sent))
         if self.target.hold_orders:
--- a/tests/process/groups/test_orders.py
+++ b/tests/process/groups/test_orders.py
@@ -86,3 +86,21 @@
     await world.run(10_000)
     assert len(world.offered_by_all()) == 1
     assert len(world.sent_orders) == 2
+
+
+# Around a hand-over between two entries, both acted for a moment: the former
+# one was paused after its checks and before the order was written.
+async def test_an_order_is_not_written_after_its_lease():
+    world = worlds.World(
+        worlds.lines_of("a", 2), worlds.items_of("a", 1), load_ms=3_000
+    )
+    for engine in world.engines.values():
+        engine.on_connect = lambda: world.clock.set_ms(
+            world.clock.now_ms() + 10_000
+        )
+    await world.run(10_000)
+    assert not world.sent_orders
+    for engine in world.engines.values():
+        engine.on_connect = lambda: None
+    await world.run(20_000)
+    assert world.sent_orders and len(world.offered_by_all()) == 1
