Judge a request of an entry anew once its connection is open

Cause: between the choice of an upstream and the write, an entry that stood still could lose touch with the log, or a zone could be taken out. It sent the request all the same.

Change: the choice holds for 1 s on the clock that includes suspension, while the entry may send at all and the upstream's zone is not drained. A request whose choice ran out is not sent, does not make its upstream suspected, and is routed again.

Measured: the new test cuts the entry off while it connects; the request ran before, and is refused as not run now. Callers' requests ran in zones that had been taken out.

--- a/oleanderbay/connection/upstream.py
+++ b/oleanderbay/connection/upstream.py
@@ -10,6 +10,7 @@
 import multidict
 import yarl
 
+from oleanderbay.connection import permissions
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import settings as settings_module
 from oleanderbay.process import watch
@@ -26,12 +27,20 @@
     Attributes:
         sent: Whether any byte of the request may have reached it.
         stalled: Whether the connection carried nothing for too long.
+        expired: Whether the permission to send the request ran out first.
     """
 
-    def __init__(self, message: str, sent: bool, stalled: bool = False) -> None:
+    def __init__(
+        self,
+        message: str,
+        sent: bool,
+        stalled: bool = False,
+        expired: bool = False,
+    ) -> None:
         super().__init__(message)
         self.sent = sent
         self.stalled = stalled
+        self.expired = expired
 
 
 class _ResentError(Exception):
@@ -191,14 +200,14 @@
     async def start(self) -> None:
         """Opens the sessions."""
         self.pooled = self._session(
-            aiohttp.TCPConnector(
+            permissions.CheckedConnector(
                 limit=0,
                 keepalive_timeout=self.config.idle_ms / 1000,
                 socket_factory=self._socket,
             )
         )
         self.single = self._session(
-            aiohttp.TCPConnector(
+            permissions.CheckedConnector(
                 limit=0, force_close=True, socket_factory=self._socket
             )
         )
@@ -255,6 +264,10 @@
             raise UpstreamError(
                 "no answer in time", progress.sent, progress.sent
             ) from error
+        except permissions.PermissionExpiredError as error:
+            raise UpstreamError(
+                "the permission to send ran out", False, expired=True
+            ) from error
         except (aiohttp.ClientError, OSError, _ResentError) as error:
             raise UpstreamError(
                 f"the connection failed: {type(error).__name__}",
--- a/oleanderbay/request/attempt.py
+++ b/oleanderbay/request/attempt.py
@@ -73,6 +73,8 @@
         stale_connection: Whether a connection that had been used before
             carried bytes that belong to another request, which says nothing
             about the upstream.
+        expired: Whether the permission to send the request ran out before it
+            was sent.
     """
 
     outcome: outcome.Outcome
@@ -80,6 +82,7 @@
     unreachable: bool = False
     stalled: bool = False
     stale_connection: bool = False
+    expired: bool = False
 
 
 async def send_request(
@@ -136,6 +139,7 @@
             message=str(error),
             unreachable=not error.sent,
             stalled=error.stalled,
+            expired=error.expired,
         )
     names_request = (
         exchange.headers.get(callers.REQUEST_ID) == call.context.request_id
--- a/oleanderbay/request/pipeline.py
+++ b/oleanderbay/request/pipeline.py
@@ -6,7 +6,7 @@
 import structlog
 from opentelemetry import trace
 
-from oleanderbay.connection import http
+from oleanderbay.connection import http, permissions
 from oleanderbay.connection import upstream as connections
 from oleanderbay.process import clock as clocks
 from oleanderbay.process import interfaces, telemetry, watch
@@ -34,6 +34,10 @@
 # request may have passed by then.
 ERROR_EVENT_TIMEOUT_MS = 500
 
+# How long the choice of an upstream holds until the request is written, if the
+# process is not paused.
+MAX_CHOICE_MS = 1_000
+
 log = structlog.get_logger()
 
 
@@ -296,15 +300,18 @@
                 headers,
                 {"upstream": upstream.id, "attempt": number},
             ) as hop_headers:
-                response = await attempt.send_request(
-                    deps.client,
-                    run.caller_request,
-                    upstream,
-                    number,
-                    run.event_filter.next_position if run.event_filter else 0,
-                    hop_headers,
-                    deps.config.first_byte_timeout_ms,
-                )
+                with permissions.required(self._choice_holds(permit)):
+                    response = await attempt.send_request(
+                        deps.client,
+                        run.caller_request,
+                        upstream,
+                        number,
+                        run.event_filter.next_position
+                        if run.event_filter
+                        else 0,
+                        hop_headers,
+                        deps.config.first_byte_timeout_ms,
+                    )
                 if not isinstance(response, attempt.FailedAttempt):
                     failure = await deps.delivery.deliver(response, run, sink)
                 else:
@@ -318,6 +325,17 @@
             deps.router.record_end(upstream.id)
             permit.close(run.first_byte_ms, failed)
 
+    def _choice_holds(self, permit: held_permits.Permit) -> Callable[[], bool]:
+        """Returns a check whether a request may still go to its upstream."""
+        deps = self.deps
+        until_ms = deps.clock.boot_ms() + MAX_CHOICE_MS
+        return lambda: (
+            deps.clock.boot_ms() < until_ms
+            and deps.sending_refusal() is None
+            and permit.upstream.zone
+            not in deps.catalogue.current.drained_zones()
+        )
+
     def _record_failure(
         self,
         run: delivery.RequestState,
@@ -332,7 +350,7 @@
             outcome=failure.outcome.value,
             error=failure.message,
         )
-        if failure.stale_connection:
+        if failure.stale_connection or failure.expired:
             return
         # A stall may be due to a device on the network path that dropped the
         # connection's state, so a stalled upstream gets one more attempt over
--- a/tests/request/test_pipeline.py
+++ b/tests/request/test_pipeline.py
@@ -320,3 +320,28 @@
         # All buffers on the path together hold far less than the response.
         assert engines[0].served == 0 and engines[0].running
         writer.transport.abort()
+
+
+# A process that had been paused for some seconds acted on a permission that
+# had run out meanwhile.
+async def test_a_request_is_judged_anew_once_its_connection_is_open(
+    monkeypatch,
+):
+    async with (
+        serving_path.running() as path,
+        serving_path.plain_service(path, "once") as service,
+    ):
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+
+        async def create_connection(*arguments, **options):
+            created = await connect(*arguments, **options)
+            port = int(service.address.rpartition(":")[2])
+            if created[0].get_extra_info("peername")[1] == port:
+                path.holder["refusal"] = serving_path.not_run()
+            return created
+
+        monkeypatch.setattr(loop, "create_connection", create_connection)
+        answer = await path.call("/s/once/x", data=b"b")
+        assert answer[0] == 503 and _reported_outcome(answer) == "not-run"
+        assert not service.executions and not path.eligible.suspected
