Test that gateways stop in turn under load without cutting requests

Six callers keep their connections to a gateway until nothing listens there; each answer must be 200 or 503.

--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -1,10 +1,12 @@
 """Tests of two gateways with a store and six workers on loopback ports."""
 
 import asyncio
+import collections
 import contextlib
 import json
 import re
 import socket
+import uuid
 
 import aiohttp
 import msgpack
@@ -255,6 +257,45 @@
     assert await site.call(first, "/stream/a") == (200, STREAM)
 
 
+# During a planned stop under load, requests that had just been accepted were
+# cut off without an answer.
+async def test_no_request_is_cut_off_while_gateways_stop_in_turn(site):
+    first, second = site.gateways
+    results = collections.Counter()
+
+    async def call_until_gone(gateway):
+        """Keeps a connection, as callers do, until nothing listens."""
+        async with aiohttp.ClientSession() as session:
+            while True:
+                try:
+                    async with session.post(
+                        f"http://{gateway.config.listeners.callers}/stream/whole/a",
+                        headers={
+                            "Host": "api",
+                            names.REQUEST_ID: uuid.uuid4().hex,
+                            names.MODEL: "small",
+                        },
+                        data=b"prompt",
+                    ) as response:
+                        await response.read()
+                        results[response.status] += 1
+                except aiohttp.ClientConnectorError:
+                    return
+                except aiohttp.ClientError as error:
+                    results[repr(error)] += 1
+
+    for gateway in (first, second):
+        before = results[200]
+        callers = [
+            asyncio.create_task(call_until_gone(gateway)) for _ in range(6)
+        ]
+        await parts.wait_until(lambda b=before: results[200] > b + 30)
+        await gateway.stop_gracefully()
+        async with asyncio.timeout(20):
+            await asyncio.gather(*callers)
+    assert set(results) <= {200, 503}, results
+
+
 # Incident inc1: gateways sent what had crashed workers before other gateways,
 # which includes what these knew before all of them were restarted.
 async def test_a_part_that_crashes_workers_is_refused_by_all_gateways(site):
