Poll sockets in one place and count the events of a stream once

Found by reading the change: the check of an idle connection to a worker polled its socket with a copy of sockets.has_input, and the relay of a stream kept a second count of the events that the request's state holds. Both now use the one that exists; behaviour stays as it is.

--- a/oleanderbay/gateway/stream_relay.py
+++ b/oleanderbay/gateway/stream_relay.py
@@ -29,7 +29,6 @@
     Attributes:
         record_survival: Called when the worker has survived the beginning of
             the request, or its end.
-        events: Number of events that the worker has sent.
     """
 
     def __init__(
@@ -56,7 +55,6 @@
         self.clock = clock
         self.record_survival = record_survival
         self.telemetry = telemetry
-        self.events = 0
         self._parser = event_stream.EventStreamParser(
             request.last_event_id, max_event_bytes
         )
@@ -80,14 +78,14 @@
             )
         # Without events, only its framing shows that a response is complete,
         # and nothing shows that a stream ended with the last event before.
-        if not self.events and (
+        if not self.request.events and (
             self.sink.started or not self.worker_response.framed
         ):
             raise event_stream.PartialEventError("the stream has no event")
         if not self.sink.started:
             await self._begin_response()
         self.worker_health.record_success(self.worker.id)
-        if self.events:
+        if self.request.events:
             self.record_survival()
         await self.sink.end()
 
@@ -132,7 +130,7 @@
             self.stall_policy.gap_timeout_ms(
                 self.request, self.worker_health.worker(self.worker.id)
             )
-            if self.events
+            if self.request.events
             else self.stall_policy.first_event_timeout_ms(self.request)
         )
         while True:
@@ -155,15 +153,14 @@
                 return data
 
     async def _pass_on(self, received: list[event_stream.Event]) -> None:
-        request, before = self.request, self.events
+        request, before = self.request, self.request.events
         request.has_unnumbered_events |= self._parser.has_unnumbered_events
         arrived_ms = self.clock.now_ms()
         await self._write(received)
         self._measures_gap = self.clock.now_ms() - arrived_ms <= PROMPT_WRITE_MS
         request.last_event_id = self._parser.last_id
-        self.events += sum(not event.is_comment for event in received)
-        request.events = self.events
-        if before < quarantine.SURVIVED_EVENTS <= self.events:
+        request.events += sum(not event.is_comment for event in received)
+        if before < quarantine.SURVIVED_EVENTS <= request.events:
             self.record_survival()
 
     async def _write(self, received: list[event_stream.Event]) -> None:
--- a/oleanderbay/gateway/worker_connection.py
+++ b/oleanderbay/gateway/worker_connection.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import re
-import select
 import socket
 from collections.abc import Callable
 
 import aiohttp
 import multidict
 
-from oleanderbay.connection import aiohttp_internals
+from oleanderbay.connection import aiohttp_internals, sockets
 from oleanderbay.gateway import workers
 from oleanderbay.process import clock as clocks
 
@@ -101,10 +100,7 @@
         if not self.reusable:
             return False
         assert self.transport is not None
-        sock = self.transport.get_extra_info("socket")
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not sockets.has_input(self.transport.get_extra_info("socket"))
 
     def prepare_reuse(self, ack_timeout_ms: int) -> None:
         """Prepares an idle connection for the next request.
