--- a/tests/gateway/parts.py
+++ b/tests/gateway/parts.py
@@ -209,3 +209,10 @@
     async with asyncio.timeout(limit_s):
         while not condition():  # noqa: ASYNC110
             await asyncio.sleep(0.005)
+
+
+async def wait_for(check, limit_s=20):
+    """Waits until an asynchronous check returns true."""
+    async with asyncio.timeout(limit_s):
+        while not await check():  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -3,9 +3,7 @@
 import asyncio
 import collections
 import contextlib
-import json
 import re
-import socket
 import uuid
 
 import aiohttp
@@ -13,190 +11,17 @@
 import pytest
 
 from oleanderbay.gateway import entry, peers, settings, summaries
-from oleanderbay.platform import http_headers, names, orders, records, store
-from oleanderbay.standins import group_worker, metadata_store
+from oleanderbay.platform import names
 from tests.gateway import parts
+from tests.gateway import site as site_module
 
-HOSTS = ("127.0.0.1", "127.0.0.2")
-ROUTE = {
-    "host": "api",
-    "kind": "streaming",
-    "timeout_ms": 10_000,
-    "target_latency_ms": 1_000,
-    "target_gap_ms": 300,
-    "max_attempts": 3,
-    "service": "chat",
-}
-CONFIGURATION = {
-    "version": 1,
-    "routes": [
-        {**ROUTE, "name": "r", "path_prefix": "/stream/", "resumable": True},
-        {**ROUTE, "name": "w", "path_prefix": "/stream/whole/"},
-    ],
-    "services": [
-        {
-            "name": "chat",
-            "engine": {
-                "slots": 4,
-                "loads_per_s": 100,
-                "models": [{"name": "small", "size": 2, "share": 1}],
-            },
-        }
-    ],
-}
-STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(5))
-
-
-def free_port(host="127.0.0.1"):
-    with socket.socket() as listener:
-        listener.bind((host, 0))
-        return listener.getsockname()[1]
-
-
-class Site:
-    """The store, the workers and the gateways of a test."""
-
-    def __init__(self):
-        self.store = metadata_store.MetadataStore()
-        self.workers = []
-        self.gateways = []
-        # Records of workers that are in the store, by worker id.
-        self.published = {}
-        self.session = aiohttp.ClientSession()
-
-    async def start(self, stack):
-        self.stack = stack
-        stack.push_async_callback(self.session.close)
-        await self.store.start()
-        stack.push_async_callback(self.store.close)
-        await self.store.put(
-            names.CONFIGURATION_TOPIC,
-            names.CONFIGURATION_KEY,
-            json.dumps(CONFIGURATION).encode(),
-        )
-        for number in range(6):
-            worker = group_worker.GroupWorker(f"w{number}")
-            await worker.start()
-            stack.push_async_callback(worker.close)
-            self.workers.append(worker)
-        task = asyncio.create_task(self._publish())
-        stack.callback(task.cancel)
-        port = free_port()
-        for number, host in enumerate(HOSTS):
-            await self._start_gateway(stack, f"g{number}", host, port)
-
-    async def restart_gateways(self, stack):
-        """Replaces all gateways by new ones, which know nothing."""
-        stopped, self.gateways = self.gateways, []
-        for gateway in stopped:
-            await gateway.stop()
-        for gateway in stopped:
-            identity, port = gateway.config.entry, gateway.config.peers.port
-            await self._start_gateway(stack, identity.id, identity.host, port)
-        await self.wait_for_groups()
-
-    async def wait_for_groups(self):
-        for gateway in self.gateways:
-            await parts.wait_until(
-                lambda g=gateway: len(self.open_groups(g)) >= 2 and g.peers.live
-            )
-
-    async def _start_gateway(self, stack, name, host, port):
-        config = settings.Settings(
-            entry=settings.EntrySettings(id=name, zone="z1", host=host),
-            listeners=settings.ListenerSettings(
-                callers=f"{host}:{free_port(host)}",
-                readiness=f"{host}:{free_port(host)}",
-            ),
-            peers=settings.PeerSettings(port=port, heartbeat_ms=50),
-            store=settings.StoreSettings(
-                address=self.store.address,
-                worker_interval_ms=50,
-                join_interval_ms=50,
-            ),
-            workers=settings.WorkerSettings(heartbeat_ms=200),
-            stop=settings.StopSettings(directory_ttl_ms=50),
-            telemetry=settings.TelemetrySettings(metrics="prometheus"),
-        )
-        store_client = store.HttpStore(self.store.address, 1, 500)
-        orders_client = orders.HttpOrders(600, 250)
-        for client in (store_client, orders_client):
-            await client.start()
-            stack.push_async_callback(client.close)
-        gateway = entry.Gateway(
-            config,
-            store_client,
-            orders_client,
-            records.JsonDecoder(),
-            http_headers.HeaderTranslator(),
-        )
-        await gateway.start()
-        stack.push_async_callback(gateway.stop)
-        self.gateways.append(gateway)
-
-    async def _publish(self):
-        """Writes the workers' records to the store as they change."""
-        while True:
-            for worker in self.workers:
-                body = json.dumps(worker.record()).encode()
-                if self.published.get(worker.id) != body:
-                    self.published[worker.id] = body
-                    await self.store.put(names.WORKERS_TOPIC, worker.id, body)
-            await asyncio.sleep(0.02)
-
-    async def replace_ended(self):
-        """Starts each crashed worker again, under a new id."""
-        for index, worker in enumerate(self.workers):
-            if not worker.crashed:
-                continue
-            await worker.close()
-            await self.store.put(names.WORKERS_TOPIC, worker.id, b"")
-            started = group_worker.GroupWorker(f"{worker.id}+")
-            started.crashing_path = worker.crashing_path
-            await started.start()
-            self.stack.push_async_callback(started.close)
-            self.workers[index] = started
-        await self.wait_for_groups()
-
-    async def configure(self, version):
-        await self.store.put(
-            names.CONFIGURATION_TOPIC,
-            names.CONFIGURATION_KEY,
-            json.dumps({**CONFIGURATION, "version": version}).encode(),
-        )
-
-    async def wait_for_version(self, version):
-        for gateway in self.gateways:
-            await parts.wait_until(
-                lambda g=gateway: g.status()["version"] == version
-            )
-
-    def open_groups(self, gateway):
-        return [g for g in gateway.status()["groups"] if g["open"]]
-
-    async def call(self, gateway, path, first_data=None, prompt=""):
-        async with self.session.post(
-            f"http://{gateway.config.listeners.callers}{path}",
-            headers={
-                "Host": "api",
-                names.REQUEST_ID: "r1",
-                names.MODEL: "small",
-                names.PROMPT_PREFIX: prompt,
-            },
-            data=b"prompt",
-        ) as response:
-            body = b""
-            async for part in response.content.iter_any():
-                body += part
-                if first_data is not None:
-                    first_data.set()
-            return response.status, body
+STREAM = site_module.STREAM
 
 
 @pytest.fixture
 async def site():
     async with contextlib.AsyncExitStack() as stack:
-        started = Site()
+        started = site_module.Site()
         await started.start(stack)
         await started.wait_for_groups()
         yield started
@@ -342,7 +167,10 @@
         )
         for gateway in site.gateways:
             assert (await site.call(gateway, "/stream/bad"))[0] == 503
-            assert await site.call(gateway, "/stream/a") == (200, STREAM)
+            assert await site.call(gateway, "/stream/a") == (
+                200,
+                STREAM,
+            )
         await site.restart_gateways(stack)
         await parts.wait_until(
             lambda: all(
@@ -384,7 +212,10 @@
         await site.workers[1].close()
         del site.workers[:2]
         await site.wait_for_groups()
-        assert await site.call(site.gateways[0], "/stream/a") == (200, STREAM)
+        assert await site.call(site.gateways[0], "/stream/a") == (
+            200,
+            STREAM,
+        )
 
 
 async def test_a_caller_without_chunked_encoding_sees_a_broken_stream(site):
@@ -406,7 +237,10 @@
 
 async def test_each_component_records_its_metrics(site):
     """A component without metrics would look idle."""
-    assert await site.call(site.gateways[0], "/stream/a") == (200, STREAM)
+    assert await site.call(site.gateways[0], "/stream/a") == (
+        200,
+        STREAM,
+    )
     exposition = ""
     for gateway in site.gateways:
         async with site.session.get(
--- /dev/null
+++ b/tests/gateway/test_partitions.py
@@ -0,0 +1,89 @@
+"""Tests of gateways that are partitioned from workers."""
+
+import contextlib
+
+import pytest
+
+from tests.gateway import links, parts
+from tests.gateway import site as site_module
+
+# Requests in a row that must be served for a gateway to count as serving.
+STEADY_REQUESTS = 10
+
+
+@pytest.fixture
+async def site():
+    async with contextlib.AsyncExitStack() as stack:
+        started = site_module.Site(linked=True)
+        await started.start(stack)
+        await started.wait_for_groups()
+        yield started
+
+
+async def call(site, gateway, number=0):
+    """Returns whether a request of a new id was served."""
+    result = await site.call(
+        gateway,
+        "/stream/whole/a",
+        request_id=f"{gateway.config.entry.id}-{number}",
+    )
+    return result == (200, site_module.STREAM)
+
+
+async def serves(site, gateway):
+    """Waits until a gateway serves several requests in a row."""
+    in_a_row = 0
+
+    async def try_once():
+        nonlocal in_a_row
+        in_a_row = in_a_row + 1 if await call(site, gateway) else 0
+        return in_a_row >= STEADY_REQUESTS
+
+    await parts.wait_for(try_once)
+
+
+def cut(site, gateway, how):
+    for link in site.links[gateway.config.entry.id].values():
+        link.cut(how)
+
+
+async def restore(site, gateway):
+    for link in site.links[gateway.config.entry.id].values():
+        await link.restore()
+
+
+def owner(site):
+    """Returns the gateway that owns the only domain, and the other one."""
+    first, second = site.gateways
+    return (
+        (first, second)
+        if first.domain_ownership.owns("chat/d1")
+        else (second, first)
+    )
+
+
+# Incident inc1 (RECOVER): gateways that were partitioned from all workers
+# served none of their callers, although other gateways reached the workers.
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 37")
+@pytest.mark.parametrize("how", links.Cut)
+async def test_callers_of_a_partitioned_gateway_are_served(site, how):
+    for gateway in site.gateways:
+        await serves(site, gateway)
+    cut(site, site.gateways[0], how)
+    for gateway in site.gateways:
+        await serves(site, gateway)
+
+
+# Incident inc1 (RECOVER): an owner of domains that had lost its paths recorded
+# their workers as lost, and the other gateways stopped using these.
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 37")
+@pytest.mark.parametrize("how", links.Cut)
+async def test_workers_stay_in_use_if_their_owner_cannot_reach_them(site, how):
+    partitioned, other = owner(site)
+    await serves(site, partitioned)
+    cut(site, partitioned, how)
+    refused = 0
+    for number in range(40):
+        await call(site, partitioned, number)
+        refused += not await call(site, other, number)
+    assert refused == 0
