Serve callers of gateways that are partitioned from workers

Cause: a gateway took a broken path for a lost worker and the others took its word, an owner of fabric domains kept duties that it could not do, and a gateway without paths had no way to serve. Class of fault: one observer's silence taken for the death of what it observes.

Change: a worker that does not accept a connection at once is also reached through another gateway (tunnels). What only others reach has a broken path, and a gateway with broken paths to most workers is partitioned: it leaves the directory, its domains and its reports on workers to others, and serves what still arrives through them. A probe counts a worker as lost only if neither this gateway nor up to two others reach it. The selecting gateway keeps all decisions and limits; the one between passes bytes on, for workers that it may use itself.

--- a/oleanderbay/connection/aiohttp_internals.py
+++ b/oleanderbay/connection/aiohttp_internals.py
@@ -4,7 +4,8 @@
 3.14.5; the tests of this module report names that a later version removes.
 """
 
-from collections.abc import Callable
+import socket
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import aiohttp
@@ -28,6 +29,7 @@
     client_proto.ResponseHandler: ("_buffer", "_payload", "should_close"),
     aiohttp.TCPConnector: (
         "_acquired",
+        "_create_connection",
         "_factory",
         "_loop",
         "_release",
@@ -49,6 +51,10 @@
 }
 
 
+# Opens a connection to a host and port; raises TimeoutError or OSError.
+OpenSocket = Callable[[str, int], Awaitable[socket.socket]]
+
+
 class ClientProtocol(client_proto.ResponseHandler):
     """The client side of one connection."""
 
@@ -64,16 +70,58 @@
         return self._payload
 
 
-class Connector(permissions.CheckedConnector):
+class SocketConnector(permissions.CheckedConnector):
+    """Uses connections that another object opens.
+
+    Attributes:
+        open_socket: Opens a connection.
+    """
+
+    def __init__(self, open_socket: OpenSocket, force_close: bool) -> None:
+        super().__init__(limit=0, force_close=force_close)
+        self.open_socket = open_socket
+
+    async def _create_connection(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Any],
+        timeout: aiohttp.ClientTimeout,
+    ) -> client_proto.ResponseHandler:
+        host, port = req.url.raw_host, req.port
+        assert host is not None and port is not None
+        try:
+            sock = await self.open_socket(host, port)
+        except TimeoutError as error:
+            raise aiohttp.ConnectionTimeoutError(
+                f"no connection to {host}:{port} in time"
+            ) from error
+        except OSError as error:
+            raise aiohttp.ClientConnectorError(
+                req.connection_key, error
+            ) from error
+        try:
+            _, protocol = await self._loop.create_connection(
+                self._factory, sock=sock
+            )
+        except BaseException:
+            sock.close()
+            raise
+        return protocol
+
+
+class Connector(SocketConnector):
     """Leaves connections open after a response; the user closes them.
 
     Connections that aiohttp marks to be closed are closed immediately.
     """
 
     def __init__(
-        self, protocol: Callable[[], ClientProtocol], reuse: bool
+        self,
+        protocol: Callable[[], ClientProtocol],
+        reuse: bool,
+        open_socket: OpenSocket,
     ) -> None:
-        super().__init__(limit=0, force_close=not reuse)
+        super().__init__(open_socket, force_close=not reuse)
         self._factory = protocol  # type: ignore[assignment]
 
     def attach(
--- a/oleanderbay/connection/sockets.py
+++ b/oleanderbay/connection/sockets.py
@@ -4,6 +4,7 @@
 import os
 import select
 import socket
+import struct
 from asyncio import trsock
 from collections.abc import Callable
 
@@ -11,6 +12,13 @@
 
 # Turns of the event loop that asyncio takes to accept a connection.
 ACCEPT_TURNS = 3
+# Value of SO_LINGER that makes close() discard unsent data and send a reset.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# A peer that is gone is noticed after the idle time and all probes. Its
+# silence for a few seconds is no loss.
+KEEPALIVE_IDLE_S = 5
+KEEPALIVE_INTERVAL_S = 2
+KEEPALIVE_PROBES = 3
 
 
 def has_input(sock: socket.socket | trsock.TransportSocket) -> bool:
@@ -20,6 +28,45 @@
     return bool(poll.poll(0))
 
 
+async def connect(host: str, port: int) -> socket.socket:
+    """Opens a connection.
+
+    Raises:
+        OSError: The connection was not established.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(
+            sock, (host.strip("[]"), port)
+        )
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+def reset_on_close(sock: socket.socket | trsock.TransportSocket) -> None:
+    """Makes the close of a socket discard unsent data and send a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
+def detect_loss(sock: socket.socket | trsock.TransportSocket) -> None:
+    """Makes the operating system close a connection whose peer is gone.
+
+    TCP_USER_TIMEOUT limits the time for unacknowledged data, and it replaces
+    the number of keep-alive probes, so both end after the same time.
+    """
+    tcp = socket.IPPROTO_TCP
+    lost_s = KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, 1_000 * lost_s)
+
+
 async def stop_accepting(
     server: asyncio.Server, protocol: Callable[[], asyncio.BaseProtocol]
 ) -> None:
--- a/oleanderbay/gateway/attempt.py
+++ b/oleanderbay/gateway/attempt.py
@@ -170,7 +170,7 @@
         timed_out = error.timed_out and request.service.engine is not None
         if not error.may_have_arrived or error.unreachable or timed_out:
             self.deps.worker_health.suspect(worker.id)
-        elif not error.stale_connection:
+        elif not error.stale_connection and not error.tunnelled:
             self.deps.worker_health.record_failure(worker.id)
 
     def _suspect_reported_member(
--- a/oleanderbay/gateway/connection_pool.py
+++ b/oleanderbay/gateway/connection_pool.py
@@ -103,6 +103,10 @@
     def close(self) -> None:
         """Closes all idle connections; later ones are closed on release."""
         self._closed = True
+        self.clear()
+
+    def clear(self) -> None:
+        """Closes all idle connections."""
         for connection in tuple(self._expires_ms):
             self._discard(connection)
 
--- /dev/null
+++ b/oleanderbay/gateway/dialing.py
@@ -0,0 +1,253 @@
+"""Opens connections to workers, directly or through another gateway."""
+
+import asyncio
+import contextlib
+import contextvars
+import dataclasses
+import random
+import socket
+from collections.abc import Awaitable, Callable, Iterator, Sequence
+
+from oleanderbay.connection import sockets
+from oleanderbay.gateway import membership, paths, tunnels, workers
+from oleanderbay.process import clock as clocks
+
+# Parts of the connect timeout after which another gateway is asked as well,
+# and then a second one: the first may be partitioned and not know it yet.
+# Connections to sound workers take a few milliseconds.
+FIRST_GATEWAY_SHARE = 0.4
+SECOND_GATEWAY_SHARE = 0.2
+# Time for which a gateway that opened no tunnel is asked last.
+AVOID_MS = 500
+# Turns of the event loop after which connections that were opened before a
+# timer fired are known.
+SETTLE_TURNS = 2
+
+
+@dataclasses.dataclass(slots=True)
+class Target:
+    """The worker that the current task connects to.
+
+    Attributes:
+        worker: The worker.
+        gateway: Id of the gateway that the connection leads through; empty
+            for a direct one.
+    """
+
+    worker: workers.Worker
+    gateway: str = ""
+
+
+_TARGET: contextvars.ContextVar[Target | None] = contextvars.ContextVar(
+    "target", default=None
+)
+
+
+@contextlib.contextmanager
+def connecting_to(worker: workers.Worker) -> Iterator[Target]:
+    """Allows the current task to reach a worker through other gateways."""
+    target = Target(worker)
+    token = _TARGET.set(target)
+    try:
+        yield target
+    finally:
+        _TARGET.reset(token)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Way:
+    """One way to open a connection.
+
+    Attributes:
+        gateway: Id of the gateway that it leads through; empty for a direct
+            connection.
+        delay_ms: Time after the start of the way before, at which this one is
+            tried as well.
+        connect: Opens the connection.
+    """
+
+    gateway: str
+    delay_ms: float
+    connect: Callable[[], Awaitable[socket.socket]]
+
+
+class Dialer:
+    """Opens connections to workers.
+
+    A worker that does not accept a connection at once may be lost, or the
+    path to it may be broken. Other gateways are then asked to open one, and
+    the first connection is used.
+
+    Attributes:
+        paths: Which workers this gateway reaches directly.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        rng: random.Random,
+        members: membership.Membership,
+        connect_timeout_ms: int,
+        known_paths: paths.Paths,
+    ) -> None:
+        self.clock = clock
+        self.rng = rng
+        self.members = members
+        self.connect_timeout_ms = connect_timeout_ms
+        self.paths = known_paths
+        self._avoided_until_ms: dict[str, int] = {}
+
+    async def open_socket(self, host: str, port: int) -> socket.socket:
+        """Opens a connection, by any way if `connecting_to` allows it.
+
+        Raises:
+            TimeoutError, OSError: No way leads to the address.
+        """
+        target = _TARGET.get()
+        direct = Way("", 0, lambda: sockets.connect(host, port))
+        async with asyncio.timeout(self.connect_timeout_ms / 1000):
+            if target is None:
+                return await direct.connect()
+            worker = target.worker
+            broken = self.paths.is_broken(worker)
+            target.gateway, sock = await try_in_turn(
+                self._ways(worker, direct, broken)
+            )
+        if not target.gateway:
+            self.paths.record_reached(worker)
+        elif not broken:
+            self.paths.record_broken(worker)
+        return sock
+
+    async def check(self, worker: workers.Worker) -> None:
+        """Opens a connection to a worker by any way, and closes it again.
+
+        Raises:
+            TimeoutError, OSError: No way leads to the worker.
+        """
+        with connecting_to(worker):
+            sock = await self.open_socket(*split_address(worker))
+        sock.close()
+
+    def _ways(
+        self, worker: workers.Worker, direct: Way, broken: bool
+    ) -> list[Way]:
+        """Returns the ways to a worker in the order of their use."""
+        first_ms = FIRST_GATEWAY_SHARE * self.connect_timeout_ms
+        next_ms = SECOND_GATEWAY_SHARE * self.connect_timeout_ms
+        tunnelled = [
+            Way(
+                gateway_id,
+                0 if broken and index == 0 else (first_ms, next_ms)[index],
+                lambda g=gateway_id, h=host: self._open_tunnel(g, h, worker),  # type: ignore[misc]
+            )
+            for index, (gateway_id, host) in enumerate(self._gateways(worker))
+        ]
+        if broken:
+            return [*tunnelled, dataclasses.replace(direct, delay_ms=next_ms)]
+        return [direct, *tunnelled]
+
+    def _gateways(self, worker: workers.Worker) -> list[tuple[str, str]]:
+        """Returns id and host of up to two gateways to ask.
+
+        They are in different zones if possible, since a zone may be
+        partitioned as a whole. Bytes within a zone cost least.
+        """
+        now_ms = self.clock.now_ms()
+        own_zone = self.members.config.entry.zone
+        found = self.members.ready_gateways()
+        self.rng.shuffle(found)
+        found.sort(
+            key=lambda gateway: (
+                self._avoided_until_ms.get(gateway.id, 0) > now_ms,
+                gateway.zone not in (own_zone, worker.zone),
+                gateway.zone != own_zone,
+            )
+        )
+        chosen = found[:1]
+        others = [g for g in found[1:] if g.zone != chosen[0].zone] or found[1:]
+        return [(g.id, g.host) for g in (*chosen, *others[:1])]
+
+    async def _open_tunnel(
+        self, gateway_id: str, host: str, worker: workers.Worker
+    ) -> socket.socket:
+        config = self.members.config
+        try:
+            return await tunnels.open_tunnel(
+                host, config.peers.port, config.entry.host, worker
+            )
+        except OSError:
+            self._avoided_until_ms[gateway_id] = self.clock.now_ms() + AVOID_MS
+            raise
+
+
+async def try_direct(worker: workers.Worker, timeout_ms: int) -> bool:
+    """Whether a direct connection to a worker can be opened."""
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            sock = await sockets.connect(*split_address(worker))
+    except (TimeoutError, OSError):
+        return False
+    sock.close()
+    return True
+
+
+def split_address(worker: workers.Worker) -> tuple[str, int]:
+    """Returns host and port of a worker."""
+    host, _, port = worker.address.rpartition(":")
+    return host, int(port)
+
+
+async def try_in_turn(ways: Sequence[Way]) -> tuple[str, socket.socket]:
+    """Opens one connection, by the way that succeeds first.
+
+    A way is tried when its delay is over or all earlier ones have failed.
+
+    Returns:
+        The gateway of the way and the connection.
+
+    Raises:
+        OSError: All ways failed; the error is that of the direct one.
+    """
+    if len(ways) == 1:
+        return ways[0].gateway, await ways[0].connect()
+    left = list(ways)
+    tasks: dict[asyncio.Task[socket.socket], str] = {}
+    won: asyncio.Task[socket.socket] | None = None
+    try:
+        while won is None:
+            if left:
+                way = left.pop(0)
+                tasks[asyncio.ensure_future(way.connect())] = way.gateway  # type: ignore[index]
+            running = [task for task in tasks if not task.done()]
+            if not running and not left:
+                break
+            await asyncio.wait(
+                running,
+                timeout=left[0].delay_ms / 1000 if left else None,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            # If this process is delayed, timers fire before connections that
+            # are ready are noticed.
+            for _ in range(SETTLE_TURNS):
+                await clocks.next_turn()
+            won = next(
+                (t for t in tasks if t.done() and t.exception() is None), None
+            )
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for task in tasks:
+            if task is not won and _succeeded(task):
+                task.result().close()
+    if won is not None:
+        return tasks[won], won.result()
+    failed = sorted(tasks, key=lambda task: tasks[task])
+    error = failed[0].exception()
+    assert error is not None
+    raise error
+
+
+def _succeeded(task: asyncio.Task[socket.socket]) -> bool:
+    return not task.cancelled() and task.exception() is None
--- a/oleanderbay/gateway/domain_ownership.py
+++ b/oleanderbay/gateway/domain_ownership.py
@@ -1,5 +1,7 @@
 """Which fabric domains this gateway owns."""
 
+from collections.abc import Callable
+
 import structlog
 import xxhash
 
@@ -20,6 +22,8 @@
             that includes suspension; -1 for never.
         refused_generation: Latest generation whose orders a worker refused
             because it had seen a later one.
+        suspended: Whether this gateway can't do an owner's duties, so that
+            others should.
     """
 
     def __init__(
@@ -40,12 +44,16 @@
         self.confirmed_ms = -1
         self.refused_generation = -1
         self.leaving = False
+        self.suspended: Callable[[], bool] = lambda: False
 
     async def run(self) -> None:
         """Confirms the ownership periodically until cancelled."""
         while not self.leaving:
             called_ms = self.clock.now_ms()
-            await self.confirm()
+            if not self.suspended():
+                await self.confirm()
+            elif self.confirmed_ms >= 0:
+                await self._withdraw()
             # The interval is counted from the start of the call. Counted from
             # its end, one call that times out would use up the time to live.
             elapsed_ms = self.clock.now_ms() - called_ms
@@ -81,7 +89,11 @@
     async def release(self) -> None:
         """Gives up all domains."""
         self.leaving = True
+        await self._withdraw()
+
+    async def _withdraw(self) -> None:
         self.partitions = frozenset()
+        self.confirmed_ms = -1
         try:
             await self.store.leave(self.member)
         except interfaces.StoreError as error:
@@ -92,6 +104,7 @@
         if (
             self.confirmed_ms < 0
             or self.leaving
+            or self.suspended()
             or self.refused_generation >= self.generation
             or self.clock.boot_ms() - self.confirmed_ms >= self.ttl_ms
         ):
--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -18,11 +18,13 @@
     controller,
     crash_detection,
     demand,
+    dialing,
     domain_ownership,
     feed,
     health,
     interfaces,
     listener,
+    paths,
     pauses,
     peers,
     pipeline,
@@ -35,8 +37,10 @@
     shared_reads,
     state,
     summaries,
+    tunnels,
     worker_client,
     worker_limits,
+    workers,
 )
 from oleanderbay.gateway import settings as settings_module
 from oleanderbay.gateway import telemetry as telemetry_module
@@ -66,7 +70,7 @@
         self,
         config: settings_module.Settings,
         store: interfaces.Store,
-        orders: interfaces.Orders,
+        orders: interfaces.ConnectedOrders,
         decoder: interfaces.Decoder,
         translator: interfaces.Translator,
         clock: clocks.Clock | None = None,
@@ -126,6 +130,33 @@
         self.peers.handlers[shared_reads.SUBSCRIBE] = (
             self.shared_reads.publisher.serve
         )
+        connect_timeout_ms = config.workers.connect_timeout_ms
+        self.paths = paths.Paths(
+            self.clock,
+            self.rng,
+            self._receiving_workers,
+            functools.partial(
+                dialing.try_direct, timeout_ms=connect_timeout_ms
+            ),
+            self._leave_duties,
+        )
+        self.dialer = dialing.Dialer(
+            self.clock,
+            self.rng,
+            self.peers.members,
+            connect_timeout_ms,
+            self.paths,
+        )
+        orders.open_socket = self.dialer.open_socket
+        self.pause_detector = pauses.PauseDetector(self.clock)
+        self.tunnels = tunnels.TunnelServer(
+            self.clock,
+            connect_timeout_ms,
+            self.peers.members.is_gateway,
+            self._tunnel_target,
+            self.pause_detector.settle,
+        )
+        self.peers.handlers[tunnels.TUNNEL] = self.tunnels.serve
         self.retry_budget = budget.RetryBudget(
             self.clock,
             config.limits.retry_ratio,
@@ -143,6 +174,7 @@
             self.clock,
             self.request_quarantine.record_crash,
             self.quarantine.record_crash,
+            self.dialer.check,
         )
         self.quarantine_records = quarantine_records.QuarantineRecords(
             store,
@@ -167,7 +199,6 @@
             self.rng,
             config.entry.zone,
         )
-        self.pause_detector = pauses.PauseDetector(self.clock)
         self.queues = queueing.RequestQueues(self.selector, self.clock)
         self.worker_client = worker_client.WorkerClient(
             config.workers,
@@ -178,6 +209,7 @@
                 self.peers.gateway_count,
                 self.selector.accepting_worker,
             ),
+            self.dialer,
             self.telemetry,
         )
         self.domain_ownership = domain_ownership.DomainOwnership(
@@ -187,6 +219,7 @@
             config.store.ownership_ttl_ms,
             config.store.join_interval_ms,
         )
+        self.domain_ownership.suspended = lambda: self.paths.partitioned
         self.demand = demand.Demand(self.clock)
         self.group_controller = controller.GroupController(
             self.gateway_state,
@@ -290,6 +323,7 @@
             self.group_controller.run,
             self.quarantine_records.feed.run,
             self.quarantine_records.run,
+            self.paths.run,
             self._exchange_addresses,
         ):
             self.add_future(self._supervise(run))
@@ -309,8 +343,18 @@
         await self.telemetry.close()
 
     def ready(self) -> bool:
-        """Whether the gateway accepts callers' requests."""
-        return self.gateway_state.table is not None and not self.leaving
+        """Whether callers should send requests to this gateway.
+
+        One that is partitioned from the workers still serves requests through
+        other gateways, to which callers should connect themselves.
+        """
+        return (
+            self.gateway_state.table is not None
+            and not self.leaving
+            and not (
+                self.paths.partitioned and self.peers.members.ready_gateways()
+            )
+        )
 
     def addresses(self) -> list[str]:
         """Returns the caller addresses of all gateways that are ready."""
@@ -348,6 +392,9 @@
                 self.domain_ownership.generation, positions.GENERATION_BITS
             ),
             "partitions": sorted(self.domain_ownership.partitions),
+            "partitioned": self.paths.partitioned,
+            "broken_paths": sorted(self.paths.broken),
+            "tunnels": self.tunnels.count,
             "lost": sorted(self.worker_health.lost),
             "suspects": sorted(self.worker_health.suspected_workers()),
             "quarantined": self.quarantine.held_parts(),
@@ -388,10 +435,36 @@
             min(cached_ms, stop.grace_ms // 2)
             - (self.clock.now_ms() - started_ms)
         )
-        await self.listeners.drain(end_ms)
+        await asyncio.gather(
+            self.listeners.drain(end_ms), self.tunnels.drain(end_ms)
+        )
         await self.listeners.close(CLOSE_LIMIT_MS)
         await self.stop()
 
+    def _receiving_workers(self) -> list[workers.Worker]:
+        return [
+            worker
+            for worker in self.gateway_state.workers.values()
+            if self.selector.may_receive(worker)
+        ]
+
+    def _tunnel_target(self, worker_id: str) -> workers.Worker | None:
+        """Returns a worker to which other gateways may be connected."""
+        worker = self.gateway_state.workers.get(worker_id)
+        if (
+            worker is None
+            or self.paths.is_broken(worker)
+            or not self.selector.may_receive(worker)
+        ):
+            return None
+        return worker
+
+    def _leave_duties(self) -> None:
+        """Leaves workers to other gateways, which reach them."""
+        self.worker_health.forget_own()
+        self.worker_client.pool.clear()
+        self.peers.send_heartbeats()
+
     async def _supervise(self, run: Callable[[], Awaitable[None]]) -> None:
         """Runs a background task and restarts it after an exception."""
         while True:
@@ -424,6 +497,10 @@
             ),
         )
         request_report = self.request_quarantine.report()
+        # What a partitioned gateway finds about workers is due to its paths.
+        found = health.NONE_FOUND
+        if not self.paths.partitioned:
+            found = self.worker_health.report()
         return {
             "ready": self.ready(),
             "leaving": self.leaving,
@@ -432,9 +509,7 @@
             ),
             "in_flight": dict(self.loads.own_counts),
             "demand": self.demand.own_means,
-            "suspects": self.worker_health.suspected_workers(),
-            "sound": self.worker_health.healthy_heads(),
-            "lost": self.worker_health.lost,
+            **found,
             "loads_begun": self.group_controller.capacity.recent_loads(),
             "planned": self.group_controller.capacity.planned_groups(),
             "serving": self.demand.has_traffic,
--- a/oleanderbay/gateway/health.py
+++ b/oleanderbay/gateway/health.py
@@ -2,7 +2,9 @@
 
 import collections
 import dataclasses
+import types
 from collections.abc import Iterable, Mapping
+from typing import Any
 
 from oleanderbay.gateway import workers
 from oleanderbay.process import clock as clocks
@@ -13,6 +15,10 @@
 # A suspicion expires after this time unless the owner of the worker's fabric
 # domain confirms it.
 SUSPICION_TIMEOUT_MS = 1_500
+# Report of a gateway that has found nothing about workers.
+NONE_FOUND: Mapping[str, Any] = types.MappingProxyType(
+    {"suspects": [], "sound": [], "lost": {}}
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -124,6 +130,21 @@
             if health.suspected_until_ms > now_ms
         ]
 
+    def report(self) -> dict[str, Any]:
+        """Returns what other gateways should know, for a heartbeat."""
+        return {
+            "suspects": self.suspected_workers(),
+            "sound": self.healthy_heads(),
+            "lost": self.lost,
+        }
+
+    def forget_own(self) -> None:
+        """Forgets which workers this gateway suspects or found lost."""
+        self.lost.clear()
+        self._healthy_ms.clear()
+        for health in self._workers.values():
+            health.suspected_until_ms = 0
+
     def mark_healthy(self, worker_id: str) -> None:
         """Records that all members of a suspected head's group respond."""
         self._healthy_ms[worker_id] = self.clock.now_ms()
--- a/oleanderbay/gateway/interfaces.py
+++ b/oleanderbay/gateway/interfaces.py
@@ -8,6 +8,7 @@
 import multidict
 from aiohttp import web
 
+from oleanderbay.connection import aiohttp_internals
 from oleanderbay.gateway import table, workers
 
 
@@ -257,6 +258,16 @@
         ...
 
 
+class ConnectedOrders(Orders, Protocol):
+    """Orders on connections that another object opens.
+
+    Attributes:
+        open_socket: Opens a connection to a worker.
+    """
+
+    open_socket: aiohttp_internals.OpenSocket
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallerRequest:
     """A request of a caller.
--- a/oleanderbay/gateway/listener.py
+++ b/oleanderbay/gateway/listener.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import dataclasses
-import socket
-import struct
 from collections.abc import Callable
 from typing import Any
 
@@ -34,8 +32,6 @@
 # Time in which refusals at the end of a planned stop reach their callers.
 REFUSAL_MS = 200
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-# Value of SO_LINGER that makes close() discard unsent data and send a reset.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 log = structlog.get_logger()
 
@@ -102,9 +98,7 @@
         if self.request.version < aiohttp.HttpVersion11:
             # HTTP/1.0 has no chunks: the end of the connection ends the
             # response, so only a reset shows that it is incomplete.
-            transport.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-            )
+            sockets.reset_on_close(transport.get_extra_info("socket"))
             transport.abort()
         else:
             transport.close()
--- a/oleanderbay/gateway/membership.py
+++ b/oleanderbay/gateway/membership.py
@@ -69,6 +69,23 @@
     loads_applied: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadyGateway:
+    """A peer that accepts requests.
+
+    Attributes:
+        id: Id of the peer.
+        host: IP address at which other gateways reach it.
+        zone: Its availability zone.
+        callers: `host:port` at which callers reach it.
+    """
+
+    id: str
+    host: str
+    zone: str
+    callers: str
+
+
 def parse_heartbeat(
     body: Mapping[str, Any], now_ms: int, interval_ms: int
 ) -> Peer:
@@ -194,8 +211,13 @@
 
     def caller_addresses(self) -> list[str]:
         """Returns the addresses for callers of the peers that are ready."""
-        found: dict[str, tuple[int, Peer | summaries.ListedGateway]] = {
-            peer.id: (peer.heard_ms, peer) for peer in self.live.values()
+        return [gateway.callers for gateway in self.ready_gateways()]
+
+    def ready_gateways(self) -> list[ReadyGateway]:
+        """Returns the peers that are ready and not shutting down."""
+        found: dict[str, tuple[int, str, Peer | summaries.ListedGateway]] = {
+            peer.id: (peer.heard_ms, peer.zone, peer)
+            for peer in self.live.values()
         }
         leaving = {(p.id, p.start_id) for p in self.live.values() if p.leaving}
         now_ms = self.clock.now_ms()
@@ -210,13 +232,17 @@
                     gateway.id not in found
                     or found[gateway.id][0] <= view.heard_ms
                 ):
-                    found[gateway.id] = (view.heard_ms, gateway)
+                    found[gateway.id] = (view.heard_ms, zone, gateway)
         return [
-            gateway.callers
-            for _, gateway in found.values()
+            ReadyGateway(gateway.id, gateway.host, zone, gateway.callers)
+            for _, zone, gateway in found.values()
             if gateway.ready and (gateway.id, gateway.start_id) not in leaving
         ]
 
+    def is_gateway(self, host: str) -> bool:
+        """Whether a gateway has been heard or listed at a host."""
+        return bool(self.addresses.get(host))
+
     def gateway_count(self) -> int:
         """Returns the number of gateways, this one included, sharing limits."""
         now_ms = self.clock.now_ms()
--- a/oleanderbay/gateway/probing.py
+++ b/oleanderbay/gateway/probing.py
@@ -4,7 +4,14 @@
 
 import structlog
 
-from oleanderbay.gateway import health, interfaces, state, table, workers
+from oleanderbay.gateway import (
+    dialing,
+    health,
+    interfaces,
+    state,
+    table,
+    workers,
+)
 from oleanderbay.gateway import tasks as tasks_module
 from oleanderbay.process import clock as clocks
 
@@ -55,7 +62,11 @@
         if self.is_lost(worker):
             return
         for _ in range(2):
-            report = await self.orders.fetch_report(worker, REPORT_TIMEOUT_MS)
+            # A worker that another gateway reaches is not lost.
+            with dialing.connecting_to(worker):
+                report = await self.orders.fetch_report(
+                    worker, REPORT_TIMEOUT_MS
+                )
             if isinstance(report, interfaces.Report):
                 if report.started_ms in (0, worker.started_ms):
                     return
@@ -69,9 +80,11 @@
         self, service: table.Service, worker: workers.Worker
     ) -> None:
         """Checks whether a member without a record still serves its group."""
-        if self.is_lost(worker) or not await self.orders.is_healthy(
-            worker, service.health_path, REPORT_TIMEOUT_MS
-        ):
+        with dialing.connecting_to(worker):
+            healthy = not self.is_lost(worker) and await self.orders.is_healthy(
+                worker, service.health_path, REPORT_TIMEOUT_MS
+            )
+        if not healthy:
             self.worker_health.lost[worker.id] = worker.started_ms
             await self.clock.sleep_ms(MISSING_MEMBER_GRACE_MS)
             # By now its group is dissolved and the peers know that it is lost.
@@ -85,7 +98,8 @@
             await self.probe_worker(worker)
             return
         await self.clock.sleep_ms(REPROBE_INTERVAL_MS)
-        report = await self.orders.fetch_report(worker, REPORT_TIMEOUT_MS)
+        with dialing.connecting_to(worker):
+            report = await self.orders.fetch_report(worker, REPORT_TIMEOUT_MS)
         if isinstance(report, interfaces.Report) and report.started_ms in (
             0,
             worker.started_ms,
--- a/oleanderbay/gateway/worker_client.py
+++ b/oleanderbay/gateway/worker_client.py
@@ -13,6 +13,7 @@
 from oleanderbay.connection import aiohttp_internals, permissions
 from oleanderbay.gateway import (
     connection_pool,
+    dialing,
     interfaces,
     recent_ids,
     settings,
@@ -57,6 +58,8 @@
             response was complete.
         expired: Whether the permission to send the request ran out first,
             which says nothing about the worker.
+        tunnelled: Whether the connection led through another gateway, which
+            may have ended it.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         stale_connection: bool = False,
         broken_off: bool = False,
         expired: bool = False,
+        tunnelled: bool = False,
     ) -> None:
         super().__init__(message)
         self.may_have_arrived = may_have_arrived
@@ -77,6 +81,7 @@
         self.stale_connection = stale_connection
         self.broken_off = broken_off
         self.expired = expired
+        self.tunnelled = tunnelled
 
 
 # The idle connection to use for the request of the current task, if any.
@@ -93,10 +98,13 @@
         clock: clocks.Clock,
         telemetry: telemetry_module.Telemetry,
         reuse: bool,
+        open_socket: aiohttp_internals.OpenSocket,
     ) -> None:
         loop = asyncio.get_running_loop()
         super().__init__(
-            lambda: worker_connection.WorkerConnection(loop, clock), reuse
+            lambda: worker_connection.WorkerConnection(loop, clock),
+            reuse,
+            open_socket,
         )
         self.telemetry = telemetry
 
@@ -150,13 +158,18 @@
         reused: Whether the connection has carried an earlier response.
         framed: Whether it has a length or chunks, rather than ending with its
             connection.
+        tunnelled: Whether it comes through another gateway.
     """
 
     def __init__(
-        self, response: _Response, pool: connection_pool.ConnectionPool
+        self,
+        response: _Response,
+        pool: connection_pool.ConnectionPool,
+        tunnelled: bool,
     ) -> None:
         self.response = response
         self.pool = pool
+        self.tunnelled = tunnelled
         self.reused = response.tcp_connection.reused
         self.framed = response.tcp_connection.framed
         self.complete = False
@@ -187,8 +200,16 @@
             return None
         except (aiohttp.ClientError, OSError) as error:
             raise AttemptError(
-                f"the answer broke off: {error}", True, broken_off=True
+                f"the answer broke off: {error}",
+                True,
+                broken_off=not self.tunnelled,
+                tunnelled=self.tunnelled,
             ) from error
+        if not data and self.tunnelled and not self.framed:
+            # The other gateway may have ended in place of the worker.
+            raise AttemptError(
+                "the end of the answer can't be told", True, tunnelled=True
+            )
         self.complete = not data
         return data
 
@@ -214,7 +235,7 @@
                 response has been read completely and its framing allows it.
         """
         self.response.close()
-        if keep and self.complete:
+        if keep and self.complete and not self.tunnelled:
             self.pool.release(self.response.tcp_connection)
         else:
             self.response.tcp_connection.close()
@@ -226,6 +247,7 @@
     Attributes:
         config: Timeouts and limits of connections.
         pool: The idle connections.
+        dialer: Opens connections.
     """
 
     def __init__(
@@ -233,11 +255,13 @@
         config: settings.WorkerSettings,
         clock: clocks.Clock,
         pool: connection_pool.ConnectionPool,
+        dialer: dialing.Dialer,
         telemetry: telemetry_module.Telemetry = telemetry_module.DISABLED,
     ) -> None:
         self.config = config
         self.clock = clock
         self.pool = pool
+        self.dialer = dialer
         self.telemetry = telemetry
         self._recent_ids = recent_ids.RecentIds(RECENT_IDS)
         self._session: aiohttp.ClientSession | None = None
@@ -246,15 +270,18 @@
     async def start(self) -> None:
         """Creates the client session; requires a running event loop."""
         self._session = aiohttp.ClientSession(
-            connector=_Connector(self.clock, self.telemetry, self.pool.enabled),
+            connector=_Connector(
+                self.clock,
+                self.telemetry,
+                self.pool.enabled,
+                self.dialer.open_socket,
+            ),
             response_class=_Response,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=SKIPPED_AUTO_HEADERS,
             read_bufsize=READ_BUFFER_BYTES,
-            timeout=aiohttp.ClientTimeout(
-                total=None, sock_connect=self.config.connect_timeout_ms / 1000
-            ),
+            timeout=aiohttp.ClientTimeout(total=None),
         )
         aiohttp_internals.disable_retries(self._session)
         if self.pool.enabled:
@@ -297,26 +324,33 @@
         # by its id only, so a request with the same id needs a new connection.
         is_new = self._recent_ids.add(caller_request.id)
         body_bytes = len(caller_request.body or b"")
-        reuse = reuse and is_new and body_bytes <= MAX_REUSE_BODY_BYTES
+        reuse = (
+            reuse
+            and is_new
+            and body_bytes <= MAX_REUSE_BODY_BYTES
+            and not self.dialer.paths.is_broken(worker)
+        )
         idle = self.pool.acquire(worker) if reuse else None
         token = _IDLE_CONNECTION.set(idle)
         response = None
+        target = dialing.Target(worker)
         try:
-            response = await self._send(
-                worker, caller_request, headers, limit_ms
-            )
+            with dialing.connecting_to(worker) as target:
+                response = await self._send(
+                    worker, caller_request, headers, limit_ms
+                )
         except permissions.PermissionExpiredError as error:
             raise AttemptError(
                 "the permission to send ran out", False, expired=True
             ) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            raise _attempt_error(error, idle) from error
+            raise _attempt_error(error, idle, bool(target.gateway)) from error
         finally:
             _IDLE_CONNECTION.reset(token)
             if idle is not None and response is None:
                 idle.close()
         response.tcp_connection.worker = worker
-        return WorkerResponse(response, self.pool)
+        return WorkerResponse(response, self.pool, bool(target.gateway))
 
     async def _send(
         self,
@@ -349,7 +383,9 @@
 
 
 def _attempt_error(
-    error: Exception, idle: worker_connection.WorkerConnection | None
+    error: Exception,
+    idle: worker_connection.WorkerConnection | None,
+    tunnelled: bool,
 ) -> AttemptError:
     """Converts an error of aiohttp into an `AttemptError`."""
     if isinstance(
@@ -362,11 +398,16 @@
     )
     if unreachable or isinstance(error, TimeoutError):
         return AttemptError(
-            "no answer in time", True, True, unreachable=unreachable
+            "no answer in time",
+            True,
+            True,
+            unreachable=unreachable,
+            tunnelled=tunnelled,
         )
     return AttemptError(
         f"no answer: {type(error).__name__}: {error}",
         True,
         stale_connection=reused_without_data,
-        broken_off=not reused_without_data,
+        broken_off=not reused_without_data and not tunnelled,
+        tunnelled=tunnelled,
     )
--- a/oleanderbay/platform/orders.py
+++ b/oleanderbay/platform/orders.py
@@ -1,12 +1,14 @@
 """Client for the HTTP control API of the platform's workers."""
 
+import asyncio
 import json
+import socket
 from collections.abc import Sequence
 from typing import Any
 
 import aiohttp
 
-from oleanderbay.connection import permissions
+from oleanderbay.connection import aiohttp_internals, permissions, sockets
 from oleanderbay.gateway import interfaces, workers
 from oleanderbay.platform import names, records
 
@@ -31,17 +33,22 @@
     Attributes:
         timeout_ms: Timeout of an order.
         connect_timeout_ms: Timeout for establishing a connection.
+        open_socket: Opens connections to workers; see `ConnectedOrders`.
     """
 
     def __init__(self, timeout_ms: int, connect_timeout_ms: int) -> None:
         self.timeout_ms = timeout_ms
         self.connect_timeout_ms = connect_timeout_ms
+        self.open_socket: aiohttp_internals.OpenSocket = self._connect
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
         """Opens the client session; requires a running event loop."""
         self._session = aiohttp.ClientSession(
-            connector=permissions.CheckedConnector(limit=0, force_close=True),
+            connector=aiohttp_internals.SocketConnector(
+                lambda host, port: self.open_socket(host, port),
+                force_close=True,
+            ),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
 
@@ -153,6 +160,10 @@
         except records.PARSE_ERRORS:
             return interfaces.OrderResult.UNKNOWN
 
+    async def _connect(self, host: str, port: int) -> socket.socket:
+        async with asyncio.timeout(self.connect_timeout_ms / 1000):
+            return await sockets.connect(host, port)
+
     async def _order(
         self, worker: workers.Worker, fence: int, **body: Any
     ) -> interfaces.OrderResult:
@@ -179,10 +190,7 @@
             return interfaces.OrderResult.UNKNOWN
 
     def _timeout(self, total_ms: int) -> aiohttp.ClientTimeout:
-        return aiohttp.ClientTimeout(
-            total=total_ms / 1000,
-            sock_connect=self.connect_timeout_ms / 1000,
-        )
+        return aiohttp.ClientTimeout(total=total_ms / 1000)
 
 
 async def _read(response: aiohttp.ClientResponse) -> bytes:
--- a/oleanderbay/standins/zone.py
+++ b/oleanderbay/standins/zone.py
@@ -13,7 +13,7 @@
 from aiohttp import test_utils
 
 from oleanderbay.gateway import entry, interfaces, settings
-from oleanderbay.platform import http_headers, records, store
+from oleanderbay.platform import http_headers, orders, records, store
 from oleanderbay.process import clock as clocks
 from oleanderbay.standins import metadata_store
 
@@ -225,7 +225,7 @@
         self.gateway = entry.Gateway(
             config,
             self.store,
-            None,  # type: ignore[arg-type]
+            orders.HttpOrders(1, 1),
             records.JsonDecoder(),
             http_headers.HeaderTranslator(),
             self.clock,
--- a/tests/gateway/links.py
+++ b/tests/gateway/links.py
@@ -50,9 +50,12 @@
     async def close(self):
         self._server.close()
         self._unblock()
-        for task in tuple(self._tasks):
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+        tasks = tuple(self._tasks)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def cut(self, how):
         """Cuts the path until `restore`."""
--- a/tests/gateway/parts.py
+++ b/tests/gateway/parts.py
@@ -1,13 +1,17 @@
 """Fixtures and test doubles that tests of the gateway share."""
 
 import asyncio
+import functools
 import random
 
 from oleanderbay.gateway import (
     budget,
     connection_pool,
+    dialing,
     health,
     interfaces,
+    membership,
+    paths,
     queueing,
     request_load,
     selection,
@@ -163,7 +167,20 @@
     connections = connection_pool.ConnectionPool(
         config, clock, lambda: gateway_count, accepting_worker or {}.get
     )
-    return worker_client.WorkerClient(config, clock, connections)
+    dialer = dialing.Dialer(
+        clock,
+        random.Random(1),
+        membership.Membership(SETTINGS, clock),
+        config.connect_timeout_ms,
+        paths.Paths(
+            clock,
+            random.Random(1),
+            lambda: (),
+            functools.partial(dialing.try_direct, timeout_ms=1_000),
+            lambda: None,
+        ),
+    )
+    return worker_client.WorkerClient(config, clock, connections, dialer)
 
 
 class Store:
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from oleanderbay.gateway import listener, table
+from oleanderbay.connection import sockets
+from oleanderbay.gateway import table
 from oleanderbay.platform import names
 from oleanderbay.process import clock as clocks
 from tests.gateway import parts, scripted_worker, test_pipeline
@@ -443,7 +444,7 @@
                 writer.get_extra_info("socket").setsockopt(
                     socket.SOL_SOCKET,
                     socket.SO_LINGER,
-                    listener.RESET_ON_CLOSE,
+                    sockets.RESET_ON_CLOSE,
                 )
                 writer.transport.abort()
             else:
--- a/tests/gateway/test_domain_ownership.py
+++ b/tests/gateway/test_domain_ownership.py
@@ -166,3 +166,22 @@
         2 * max(config.join_interval_ms, config.timeout_ms)
         < config.ownership_ttl_ms
     )
+
+
+# Incident inc1 (RECOVER): owners without paths to their workers kept the
+# domains.
+async def test_a_suspended_owner_gives_its_domains_up_and_takes_some_again():
+    ownership, store, clock = make_ownership()
+    suspended = False
+    ownership.suspended = lambda: suspended
+    task = asyncio.create_task(ownership.run())
+    await clock.advance(1_000)
+    assert ownership.owns("d")
+    suspended = True
+    assert not ownership.owns("d")
+    await clock.advance(2_000)
+    assert store.calls == ["leave"]
+    suspended = False
+    await clock.advance(500)
+    assert ownership.owns("d")
+    task.cancel()
--- a/tests/gateway/test_partitions.py
+++ b/tests/gateway/test_partitions.py
@@ -64,7 +64,6 @@
 
 # Incident inc1 (RECOVER): gateways that were partitioned from all workers
 # served none of their callers, although other gateways reached the workers.
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 37")
 @pytest.mark.parametrize("how", links.Cut)
 async def test_callers_of_a_partitioned_gateway_are_served(site, how):
     for gateway in site.gateways:
@@ -76,7 +75,6 @@
 
 # Incident inc1 (RECOVER): an owner of domains that had lost its paths recorded
 # their workers as lost, and the other gateways stopped using these.
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 37")
 @pytest.mark.parametrize("how", links.Cut)
 async def test_workers_stay_in_use_if_their_owner_cannot_reach_them(site, how):
     partitioned, other = owner(site)
--- a/tests/gateway/test_worker_client.py
+++ b/tests/gateway/test_worker_client.py
@@ -7,7 +7,8 @@
 import multidict
 import pytest
 
-from oleanderbay.gateway import interfaces, listener, worker_client
+from oleanderbay.connection import sockets
+from oleanderbay.gateway import interfaces, worker_client
 from tests.gateway import parts
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -56,7 +57,7 @@
             # Lets the client read the data before the reset discards it.
             await asyncio.sleep(0.02)
             writer.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, listener.RESET_ON_CLOSE
+                socket.SOL_SOCKET, socket.SO_LINGER, sockets.RESET_ON_CLOSE
             )
             writer.transport.abort()
         else:
