Send nothing more to workers that say in answers that they leave

What callers would see: requests that reach a worker after it has said that it leaves, and are cut off when it exits (DRAIN).

Cause: a worker counted as draining by its record only, which may come late or never, while its answers already say it.

Change: an answer with Server-Leaving: 1, also a failure or a refusal, marks the worker as draining from then on, like its record; so its group is replaced, its idle connections are dropped and tunnels to it are refused. Older records of the same incarnation do not take that back; a new start of the worker does.

--- a/oleanderbay/gateway/attempt.py
+++ b/oleanderbay/gateway/attempt.py
@@ -240,6 +240,11 @@
             worker_response.status,
             worker_response.headers,
         )
+        if (
+            response_class is not interfaces.ResponseClass.OTHER_WORKER
+            and deps.translator.is_leaving(worker_response.headers)
+        ):
+            deps.selector.gateway_state.mark_draining(worker)
         if response_class not in (
             interfaces.ResponseClass.OTHER_WORKER,
             interfaces.ResponseClass.UNUSABLE,
--- a/oleanderbay/gateway/interfaces.py
+++ b/oleanderbay/gateway/interfaces.py
@@ -404,6 +404,10 @@
         """
         ...
 
+    def is_leaving(self, headers: Mapping[str, str]) -> bool:
+        """Whether a worker states that it drains."""
+        ...
+
     def response_headers(
         self, headers: "multidict.CIMultiDictProxy[str]"
     ) -> multidict.CIMultiDict[str]:
--- a/oleanderbay/gateway/state.py
+++ b/oleanderbay/gateway/state.py
@@ -11,6 +11,9 @@
 # Records arrive up to one read interval after they were written, so the end of
 # a cold start that is computed from them varies by that much.
 COLD_TOLERANCE_MS = 500
+# Workers that said themselves that they drain, and that are remembered in case
+# an older record of them arrives.
+MAX_SAID_DRAINING = 1_024
 
 log = structlog.get_logger()
 
@@ -45,6 +48,8 @@
         self.revision = 0
         self.skipped_records = 0
         self._logged: set[str] = set()
+        # Start time of the incarnation, by worker id.
+        self._said_draining: dict[str, int] = {}
         self._groups: dict[tuple[str, int], workers.Group] = {}
         self._groups_revision = -1
         self._by_service: dict[str, tuple[workers.Worker, ...]] = {}
@@ -132,6 +137,8 @@
                 return True
             self.revision += 1
             return False
+        if self._said_draining.get(worker.id, -1) == worker.started_ms:
+            worker = dataclasses.replace(worker, draining=True)
         self.missing_members.pop(worker.id, None)
         previous = self.workers.get(worker.id)
         repeats = self._is_repeat(previous, worker)
@@ -150,6 +157,24 @@
             self.revision += 1
         return repeats
 
+    def mark_draining(self, worker: workers.Worker) -> None:
+        """Applies that a worker has said in a response that it drains.
+
+        This holds like its record, and until a new incarnation registers.
+        """
+        if self._said_draining.get(worker.id, -1) == worker.started_ms:
+            return
+        self._said_draining.pop(worker.id, None)
+        self._said_draining[worker.id] = worker.started_ms
+        while len(self._said_draining) > MAX_SAID_DRAINING:
+            del self._said_draining[next(iter(self._said_draining))]
+        known = self.workers.get(worker.id)
+        if known is None or known.started_ms != worker.started_ms:
+            return
+        log.info("worker drains", worker=worker.id)
+        self.workers[worker.id] = dataclasses.replace(known, draining=True)
+        self.revision += 1
+
     def groups(self) -> dict[tuple[str, int], workers.Group]:
         """Returns the groups reported by the workers, by name and epoch."""
         if self._groups_revision != self.revision:
--- a/oleanderbay/platform/http_headers.py
+++ b/oleanderbay/platform/http_headers.py
@@ -144,6 +144,10 @@
             return 0
         return math.ceil(1_000 * min(rest_s, MAX_REST_S))
 
+    def is_leaving(self, headers: Mapping[str, str]) -> bool:
+        """Whether a worker states that it leaves."""
+        return headers.get(names.LEAVING, "").strip() == "1"
+
     def response_headers(
         self, headers: "multidict.CIMultiDictProxy[str]"
     ) -> multidict.CIMultiDict[str]:
--- a/oleanderbay/platform/names.py
+++ b/oleanderbay/platform/names.py
@@ -15,6 +15,7 @@
 FAILED_WORKER = "At-Server"
 RATE_LIMIT = "Server-Limit"
 RETRY_AFTER = "Retry-After"
+LEAVING = "Server-Leaving"
 STORE_ERA = "Store-Era"
 
 CONFIGURATION_TOPIC = "keyed.op"
--- a/oleanderbay/standins/group_worker.py
+++ b/oleanderbay/standins/group_worker.py
@@ -76,6 +76,8 @@
         crashed: Whether it has ended in that way.
         rate_limit: Requests a second that it states as its limit; empty for
             none.
+        says_draining: Whether its responses state that it drains, which its
+            record need not.
         rest_s: Retry-After of refusals; empty for none.
         refused: Number of requests that were refused.
         at_fault: Member that the head names in a 503; empty for none.
@@ -110,6 +112,7 @@
         self.crashing_path = ""
         self.crashed = False
         self.rate_limit = ""
+        self.says_draining = False
         self.rest_s = ""
         self.refused = 0
         self.at_fault = ""
@@ -246,6 +249,8 @@
     def _refusal(self, status: int) -> web.Response:
         self.refused += 1
         headers = {names.NOT_EXECUTED: "true"}
+        if self.says_draining:
+            headers[names.LEAVING] = "1"
         if self.rest_s and status == 503:
             headers[names.RETRY_AFTER] = self.rest_s
         return web.json_response({}, status=status, headers=headers)
@@ -291,14 +296,16 @@
         if self.at_fault:
             named = {names.FAILED_WORKER: self.at_fault}
             return web.json_response({}, status=503, headers=named)
+        said = {names.LEAVING: "1"} if self.says_draining else {}
         if self.spend("fail"):
-            return web.json_response({}, status=500)
+            return web.json_response({}, status=500, headers=said)
         if self.spend("broken"):
             return web.json_response({}, status=503)
         headers = {
             names.REQUEST_ID: request.headers.get(names.REQUEST_ID, ""),
             names.WORKER_ID: self.id,
             names.SIGNATURE: hashlib.sha256(body).hexdigest(),
+            **said,
         }
         if self.rate_limit:
             headers[names.RATE_LIMIT] = self.rate_limit
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -551,3 +551,23 @@
         harness.sender._send = rest_before_sending
         assert (await harness.call()).status == 200
         assert not resting.executions
+
+
+# Workers that say in their answers that they leave may do so long before their
+# record says it, or without a record that does (DRAIN).
+@pytest.mark.parametrize("fault", [None, "refuse", "fail", "no_signature"])
+@pytest.mark.parametrize("path", ["/whole", "/stream"])
+async def test_a_worker_that_says_that_it_leaves_gets_no_more_requests(
+    fault, path
+):
+    async with running_pipeline(kind=table.RouteKind.STREAM) as harness:
+        leaving = harness.workers[0]
+        leaving.says_draining = True
+        if fault is not None:
+            leaving.faults[fault] = 1
+        await harness.call(path)
+        arrived = leaving.refused + len(leaving.executions)
+        assert arrived == 1
+        for _ in range(5):
+            assert (await harness.call(path)).status == 200
+        assert leaving.refused + len(leaving.executions) == arrived
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -1,5 +1,7 @@
 """Tests of the state read from the metadata store."""
 
+import dataclasses
+
 import pytest
 
 from oleanderbay.gateway import interfaces
@@ -138,3 +140,26 @@
     assert is_outdated(new, malformed) and not is_outdated(malformed, old)
     zone = interfaces.KeyedRecord(1, "zone/z1", b"1")
     assert not is_outdated(zone, zone)
+
+
+def test_a_worker_that_said_that_it_drains_stays_so_until_it_starts_again():
+    """Guards against records that were written before the answer."""
+    gateway = parts.GatewayParts()
+    worker = parts.worker("w", started_ms=1)
+    gateway.add(worker)
+    gateway.state.mark_draining(worker)
+    assert gateway.state.workers["w"].draining
+    gateway.add(dataclasses.replace(worker, sequence=3))
+    assert gateway.state.workers["w"].draining
+    gateway.drop("w")
+    gateway.add(worker)
+    assert gateway.state.workers["w"].draining
+    gateway.add(parts.worker("w", started_ms=2))
+    assert not gateway.state.workers["w"].draining
+
+
+def test_a_late_answer_of_an_earlier_incarnation_drains_no_later_one():
+    gateway = parts.GatewayParts()
+    gateway.add(parts.worker("w", started_ms=2))
+    gateway.state.mark_draining(parts.worker("w", started_ms=1))
+    assert not gateway.state.workers["w"].draining
