--- a/oleanderbay/platform/http_headers.py
+++ b/oleanderbay/platform/http_headers.py
@@ -137,7 +137,7 @@
         if status != 503:
             return 0
         try:
-            rest_s = float(headers.get(names.RETRY_AFTER, "0"))
+            rest_s = float(headers.get("Retry-After", "0"))
         except ValueError:
             return 0
         if not math.isfinite(rest_s) or rest_s <= 0:
--- a/oleanderbay/platform/names.py
+++ b/oleanderbay/platform/names.py
@@ -14,7 +14,6 @@
 PRIORITY = "X-Request-Priority"
 FAILED_WORKER = "At-Server"
 RATE_LIMIT = "Server-Limit"
-RETRY_AFTER = "Retry-After"
 LEAVING = "Server-Leaving"
 STORE_ERA = "Store-Era"
 
--- a/oleanderbay/standins/group_worker.py
+++ b/oleanderbay/standins/group_worker.py
@@ -252,7 +252,7 @@
         if self.says_draining:
             headers[names.LEAVING] = "1"
         if self.rest_s and status == 503:
-            headers[names.RETRY_AFTER] = self.rest_s
+            headers["Retry-After"] = self.rest_s
         return web.json_response({}, status=status, headers=headers)
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
