Refuse records of workers with values that later use can't take

Cause: the parser took any whole number, key and address, while the bounds of a field are those of what uses it. A start time beyond 64 bits could not be packed into heartbeats once its worker was lost, slots beyond a float's range ended each selection, a key with a line break could not be sent in a header, and an address could hold a path.

Change: numbers have bounds, keys of workers are printable ASCII, an address is a host and a port. Deeply nested bytes were refused before and still are. A refused entry names no worker; the others hold.

--- a/oleanderbay/platform/records.py
+++ b/oleanderbay/platform/records.py
@@ -1,6 +1,7 @@
 """Parsers of the platform's JSON records into the gateway's types."""
 
 import json
+import re
 from collections.abc import Mapping, Sequence
 from typing import Any
 
@@ -19,6 +20,16 @@
     "closing": workers.MemberState.CLOSING,
     "broken": workers.MemberState.BROKEN,
 }
+# Largest numbers that a worker's record may hold. They are sent to other
+# gateways and used in calculations with floating-point numbers.
+MAX_SLOTS = 1_000_000
+MAX_RANK = 1_000_000
+MAX_COLD_MS = 86_400_000
+MAX_COUNT = 2**53
+MAX_PACE = 1_000_000
+ADDRESS = re.compile(r"([A-Za-z0-9.-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})")
+# Ids of workers are sent in headers.
+WORKER_ID = re.compile(r"[!-~]+")
 # Exceptions that parsing an untrusted record may raise. Converting an infinite
 # number raises ArithmeticError, deeply nested JSON raises RecursionError.
 PARSE_ERRORS = (
@@ -71,42 +82,59 @@
         membership=_parse_membership(body.get("group")),
         models=_model_names(body),
         staged=_staged_models(body),
-        started_ms=int(body.get("born") or 0),
-        in_flight=int(body.get("in_flight") or 0),
-        queued=int(body.get("queue_depth") or 0),
-        time_factor=float(body.get("pace") or 1.0),
+        started_ms=_whole(body, "born", MAX_COUNT),
+        in_flight=_whole(body, "in_flight", MAX_COUNT),
+        queued=_whole(body, "queue_depth", MAX_COUNT),
+        time_factor=_number(body, "pace", MAX_PACE) or 1.0,
     )
 
 
 def _parse_worker(key: str, body: Any) -> workers.Worker:
+    if not WORKER_ID.fullmatch(key):
+        raise ValueError("the key is no worker's id")
     state = _non_empty_string(body["state"])
     if state not in ("ready", "draining"):
         raise ValueError(f"unknown worker state {state!r}")
-    host, _, port = _non_empty_string(body["address"]).rpartition(":")
-    if not host or not 0 < int(port) < 65_536:
+    address = ADDRESS.fullmatch(_non_empty_string(body["address"]))
+    if address is None or not 0 < int(address[2]) < 65_536:
         raise ValueError("address is not host:port")
     slots = body.get("slots", 1)
-    if type(slots) is not int or slots < 1:
+    if type(slots) is not int or not 0 < slots <= MAX_SLOTS:
         raise ValueError("slots is not a positive integer")
     return workers.Worker(
         id=key,
         service=_non_empty_string(body["service"]),
-        address=f"{host}:{port}",
+        address=f"{address[1]}:{int(address[2])}",
         zone=_non_empty_string(body["zone"]),
         domain=_non_empty_string(str(body["domain"]))
         if body.get("domain")
         else "",
         slots=slots,
         draining=state == "draining",
-        remaining_cold_ms=int(body.get("cold_remaining_ms") or 0),
-        started_ms=int(body.get("born") or 0),
-        sequence=int(body.get("sequence") or 0),
+        remaining_cold_ms=_whole(body, "cold_remaining_ms", MAX_COLD_MS),
+        started_ms=_whole(body, "born", MAX_COUNT),
+        sequence=_whole(body, "sequence", MAX_COUNT),
         models=_model_names(body),
         staged=_staged_models(body),
         membership=_parse_membership(body.get("group")),
     )
 
 
+def _number(body: Mapping[str, Any], name: str, most: float) -> float:
+    """Returns a number from 0 on; 0 if it is missing."""
+    value = body.get(name)
+    if value is None:
+        return 0
+    if type(value) not in (int, float) or not 0 <= value <= most:
+        raise ValueError(f"{name} is not a number from 0 to {most}")
+    return float(value)
+
+
+def _whole(body: Mapping[str, Any], name: str, most: int) -> int:
+    """Returns a number from 0 on without its fraction; 0 if it is missing."""
+    return int(_number(body, name, most))
+
+
 def _non_empty_string(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise TypeError(f"expected a non-empty string, found {value!r}")
@@ -129,13 +157,19 @@
     )
 
 
+def _epoch(value: Any) -> int:
+    if type(value) is not int or not 0 <= value < 2**63:
+        raise ValueError("epoch is not an integer of 63 bits")
+    return value
+
+
 def _parse_membership(body: Any) -> workers.Membership | None:
     if not body or not body.get("name"):
         return None
     return workers.Membership(
         group=_non_empty_string(body["name"]),
-        epoch=int(body["epoch"]),
-        rank=int(body["rank"]),
+        epoch=_epoch(body["epoch"]),
+        rank=_whole({"rank": body["rank"]}, "rank", MAX_RANK),
         state=MEMBER_STATES[body["state"]],
     )
 
