Answer or refuse requests that come late in a planned stop

Report of other operators: in a planned stop, requests that came late in the grace were passed on and cut without an answer at its end, also ones that must not be repeated (LOST). It could happen here.

Cause: while the listener drained, a kept connection could bring a request at any time, and the end of the stop closed the connections of what still ran.

Change: in the last two thirds of the drain, a request that may need more time than is left is refused at once as not run, with the connection closed, so that its caller goes elsewhere. What runs at the end gets a final answer: 504 if it may have run, 503 if not; a stream that has begun is broken off as before.

--- a/oleanderbay/gateway/listener.py
+++ b/oleanderbay/gateway/listener.py
@@ -189,9 +189,10 @@
         """Answers what callers have sent and accepts nothing more.
 
         Args:
-            end_ms: Monotonic time at which requests that still wait for a
-                worker are refused.
+            end_ms: Monotonic time at which requests that still have no
+                response get a final one.
         """
+        self.pipeline.end_at(end_ms)
         if self._caller_sockets is not None and self._caller_server is not None:
             await sockets.stop_accepting(
                 self._caller_sockets, self._caller_server
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -7,6 +7,7 @@
 import multidict
 import pytest
 
+from oleanderbay.gateway import table
 from oleanderbay.request import outcome
 from tests.gateway import listener_harness, parts
 
@@ -158,3 +159,52 @@
         assert answer.startswith(b"HTTP/1.1 503") and b"not-run" in answer
         assert b"Retry-After" in answer
         writer.close()
+
+
+# Report of operators: late in a planned stop, requests were passed on and then
+# cut off without an answer, also ones that must not be repeated.
+async def test_a_request_that_comes_late_in_a_stop_is_answered_or_not_run():
+    async with listener_harness.running_listener(
+        timeout_ms=60_000, kind=table.RouteKind.NON_IDEMPOTENT
+    ) as harness:
+        (worker, *_) = harness.pipeline_harness.workers
+        for other in harness.pipeline_harness.workers:
+            other.faults["stall"] = 99
+        early = await harness.connect()
+        late = await harness.connect()
+        early[1].write(listener_harness.GET)
+        await parts.wait_until(lambda: worker.executions)
+        stop = asyncio.create_task(_stop(harness, limit_ms=3_000))
+        await asyncio.sleep(1.2)
+        late[1].write(listener_harness.GET)
+        answer = await late[0].read()
+        assert answer.startswith(b"HTTP/1.1 503") and b"not-run" in answer
+        assert b"Connection: close" in answer and b"Retry-After" in answer
+        # The other one may have run, which is said before the end.
+        answer = await early[0].read()
+        assert answer.startswith(b"HTTP/1.1 504") and b"unknown" in answer
+        await stop
+        assert (
+            sum(len(w.executions) for w in harness.pipeline_harness.workers)
+            == 1
+        )
+        for _, writer in (early, late):
+            writer.close()
+
+
+async def test_a_short_request_late_in_a_stop_is_served():
+    """Guards against refusals of requests for which there is enough time."""
+    async with listener_harness.running_listener(timeout_ms=500) as harness:
+        kept = await harness.connect()
+        busy = await harness.connect()
+        busy[1].write(listener_harness.GET[:20])
+        await asyncio.sleep(0.05)
+        stop = asyncio.create_task(_stop(harness, limit_ms=20_000))
+        await asyncio.sleep(0.05)
+        kept[1].write(listener_harness.GET)
+        assert (await kept[0].read()).startswith(b"HTTP/1.1 200")
+        busy[1].write(listener_harness.GET[20:])
+        assert (await busy[0].read()).startswith(b"HTTP/1.1 200")
+        await stop
+        for _, writer in (kept, busy):
+            writer.close()
