Probe lost workers again at the gateway that found them lost

What callers would see: after a partition, sound workers stay out of use, as the gateway that took them for lost no longer owns their domain and keeps its word.

Change: each gateway probes all workers again that it found lost, whoever owns their domain; a partitioned one records and reports none.

Evidence: both tests failed before.

--- a/oleanderbay/gateway/controller.py
+++ b/oleanderbay/gateway/controller.py
@@ -136,6 +136,7 @@
         ):
             return
         self._forget_lost()
+        self._reprobe_lost()
         groups = self.gateway_state.groups()
         self.dissolution.update_heads(groups)
         for service in current.services.values():
@@ -152,6 +153,19 @@
             ):
                 self.gateway_state.forget_missing_member(worker.id)
 
+    def _reprobe_lost(self) -> None:
+        """Probes the workers again that this gateway has found lost.
+
+        It may own their domains no longer, but its verdict stands until it
+        takes it back.
+        """
+        for worker_id, started_ms in self.worker_health.lost.items():
+            worker = self.gateway_state.workers.get(worker_id)
+            if worker is not None and worker.started_ms == started_ms:
+                self.tasks.start(
+                    ("again", worker_id), self.prober.reprobe(worker)
+                )
+
     def _reconcile_service(
         self,
         service: table.Service,
@@ -199,11 +213,6 @@
         }
         for key in local:
             self._reconcile_group(engine, groups[key])
-        for worker in members:
-            if self.worker_health.lost.get(worker.id, -1) == worker.started_ms:
-                self.tasks.start(
-                    ("again", worker.id), self.prober.reprobe(worker)
-                )
         free = [
             planner.FreeWorker(
                 worker, worker.models[0] if worker.models else ""
--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -221,6 +221,7 @@
             config.store.join_interval_ms,
         )
         self.domain_ownership.suspended = lambda: self.paths.partitioned
+        self.worker_health.partitioned = lambda: self.paths.partitioned
         self.demand = demand.Demand(self.clock)
         self.group_controller = controller.GroupController(
             self.gateway_state,
@@ -498,10 +499,6 @@
             ),
         )
         request_report = self.request_quarantine.report()
-        # What a partitioned gateway finds about workers is due to its paths.
-        found = health.NONE_FOUND
-        if not self.paths.partitioned:
-            found = self.worker_health.report()
         return {
             "ready": self.ready(),
             "leaving": self.leaving,
@@ -510,7 +507,7 @@
             ),
             "in_flight": dict(self.loads.own_counts),
             "demand": self.demand.own_means,
-            **found,
+            **self.worker_health.report(),
             "loads_begun": self.group_controller.capacity.recent_loads(),
             "planned": self.group_controller.capacity.planned_groups(),
             "serving": self.demand.has_traffic,
--- a/oleanderbay/gateway/health.py
+++ b/oleanderbay/gateway/health.py
@@ -2,10 +2,11 @@
 
 import collections
 import dataclasses
-import types
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
+import structlog
+
 from oleanderbay.gateway import workers
 from oleanderbay.process import clock as clocks
 
@@ -15,10 +16,8 @@
 # A suspicion expires after this time unless the owner of the worker's fabric
 # domain confirms it.
 SUSPICION_TIMEOUT_MS = 1_500
-# Report of a gateway that has found nothing about workers.
-NONE_FOUND: Mapping[str, Any] = types.MappingProxyType(
-    {"suspects": [], "sound": [], "lost": {}}
-)
+
+log = structlog.get_logger()
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,12 +53,15 @@
             start time of the lost incarnation.
         typical_first_byte_ms: Moving average of the time to the first byte of
             a response, by model or service.
+        partitioned: Whether this gateway reaches no workers while others do.
+            What it finds about workers is then due to its paths.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self.clock = clock
         self.lost: dict[str, int] = {}
         self.typical_first_byte_ms: dict[str, float] = {}
+        self.partitioned: Callable[[], bool] = lambda: False
         self._workers: dict[str, WorkerHealth] = {}
         self._healthy_ms: dict[str, int] = {}
         self._peer_suspects: dict[str, frozenset[str]] = {}
@@ -132,12 +134,22 @@
 
     def report(self) -> dict[str, Any]:
         """Returns what other gateways should know, for a heartbeat."""
+        if self.partitioned():
+            return {"suspects": [], "sound": [], "lost": {}}
         return {
             "suspects": self.suspected_workers(),
             "sound": self.healthy_heads(),
             "lost": self.lost,
         }
 
+    def record_lost(self, worker: workers.Worker) -> bool:
+        """Records that a worker is lost; returns whether that is certain."""
+        if self.partitioned():
+            return False
+        self.lost[worker.id] = worker.started_ms
+        log.info("worker lost", worker=worker.id)
+        return True
+
     def forget_own(self) -> None:
         """Forgets which workers this gateway suspects or found lost."""
         self.lost.clear()
--- a/oleanderbay/gateway/probing.py
+++ b/oleanderbay/gateway/probing.py
@@ -73,8 +73,7 @@
                 break
             if report is interfaces.OrderResult.REFUSED:
                 break
-        self.worker_health.lost[worker.id] = worker.started_ms
-        log.info("worker lost", worker=worker.id)
+        self.worker_health.record_lost(worker)
 
     async def check_missing_member(
         self, service: table.Service, worker: workers.Worker
@@ -84,8 +83,7 @@
             healthy = not self.is_lost(worker) and await self.orders.is_healthy(
                 worker, service.health_path, REPORT_TIMEOUT_MS
             )
-        if not healthy:
-            self.worker_health.lost[worker.id] = worker.started_ms
+        if not healthy and self.worker_health.record_lost(worker):
             await self.clock.sleep_ms(MISSING_MEMBER_GRACE_MS)
             # By now its group is dissolved and the peers know that it is lost.
             self.gateway_state.forget_missing_member(worker.id)
--- a/tests/gateway/test_controller.py
+++ b/tests/gateway/test_controller.py
@@ -350,3 +350,30 @@
     assert len(seen) > 1
     assert len({name for name, _ in seen}) == len(seen)
     assert [epoch for _, epoch in seen] == sorted({e for _, e in seen})
+
+
+# An owner that was partitioned kept workers lost for all gateways, as it gave
+# their domain up before they answered again.
+async def test_a_worker_is_probed_again_by_the_gateway_that_found_it_lost(
+    simulation,
+):
+    simulation.add("a")
+    simulation.gateway.worker_health.lost["a"] = 0
+    simulation.ownership.suspended = lambda: True
+    await simulation.clock.advance(3_000)
+    assert not simulation.gateway.worker_health.lost
+
+
+async def test_a_partitioned_gateway_finds_no_worker_lost(simulation):
+    """Guards against probes that end after the partition was noticed."""
+    simulation.add("a")
+    health = simulation.gateway.worker_health
+    worker = simulation.actual.pop("a")
+    health.partitioned = lambda: True
+    await simulation.controller.prober.probe_worker(worker)
+    assert not health.lost
+    health.partitioned = lambda: False
+    await simulation.controller.prober.probe_worker(worker)
+    assert health.lost == {"a": 0} and health.report()["lost"] == {"a": 0}
+    health.partitioned = lambda: True
+    assert health.report()["lost"] == {}
