Forward records that confirm what a worker said in an answer

What callers would see: requests that reach a draining worker through gateways whose reader of the workers' topic was told by an answer before (DRAIN).

Cause: the reader compared the draining record with what the answer had already changed, took it for a repeat and did not forward it to its followers.

Change: such a record counts as a change once. Found by reading the change.

Evidence: the test failed before.

--- a/oleanderbay/gateway/state.py
+++ b/oleanderbay/gateway/state.py
@@ -137,11 +137,16 @@
                 return True
             self.revision += 1
             return False
+        confirms = False
         if self._said_draining.get(worker.id, -1) == worker.started_ms:
+            confirms = worker.draining
             worker = dataclasses.replace(worker, draining=True)
+        if confirms:
+            del self._said_draining[worker.id]
         self.missing_members.pop(worker.id, None)
         previous = self.workers.get(worker.id)
-        repeats = self._is_repeat(previous, worker)
+        # Gateways that follow this one may not know it from the worker itself.
+        repeats = not confirms and self._is_repeat(previous, worker)
         if worker.remaining_cold_ms <= 0:
             self.cold_until_ms.pop(worker.id, None)
         elif not repeats:
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -163,3 +163,19 @@
     gateway.add(parts.worker("w", started_ms=2))
     gateway.state.mark_draining(parts.worker("w", started_ms=1))
     assert not gateway.state.workers["w"].draining
+
+
+def test_a_record_that_confirms_what_a_worker_said_is_no_repeat():
+    """Guards against followers of a reader that never learn of a drain."""
+    gateway = parts.GatewayParts()
+    worker = parts.worker("w", started_ms=1)
+    gateway.add(worker)
+    gateway.state.mark_draining(worker)
+    draining = dataclasses.replace(worker, draining=True)
+    repeats = [
+        gateway.state.apply_worker(
+            gateway.decoder.record(10 + number, "w", draining)
+        )
+        for number in range(2)
+    ]
+    assert repeats == [False, True]
