Choose other gateways for a connection only when they are needed

Each new connection to a worker visited all ready gateways and sorted them, also if the worker accepted at once. The ways to a worker are now made one after the other. Found by reading the change; which ways are tried, and when, stays as it is. Checked: tests of the ways, of partitions and of the client.

--- a/oleanderbay/gateway/dialing.py
+++ b/oleanderbay/gateway/dialing.py
@@ -4,9 +4,10 @@
 import contextlib
 import contextvars
 import dataclasses
+import functools
 import random
 import socket
-from collections.abc import Awaitable, Callable, Iterator, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 
 from oleanderbay.connection import sockets
 from oleanderbay.gateway import membership, paths, tunnels, workers
@@ -61,14 +62,13 @@
     Attributes:
         gateway: Id of the gateway that it leads through; empty for a direct
             connection.
-        delay_ms: Time after the start of the way before, at which this one is
-            tried as well.
         connect: Opens the connection.
+        patience_ms: Time after which the next way is tried as well.
     """
 
     gateway: str
-    delay_ms: float
     connect: Callable[[], Awaitable[socket.socket]]
+    patience_ms: float
 
 
 class Dialer:
@@ -104,12 +104,16 @@
             TimeoutError, OSError: No way leads to the address.
         """
         target = _TARGET.get()
-        direct = Way("", 0, lambda: sockets.connect(host, port))
         async with asyncio.timeout(self.connect_timeout_ms / 1000):
             if target is None:
-                return await direct.connect()
+                return await sockets.connect(host, port)
             worker = target.worker
             broken = self.paths.is_broken(worker)
+            direct = Way(
+                "",
+                lambda: sockets.connect(host, port),
+                FIRST_GATEWAY_SHARE * self.connect_timeout_ms,
+            )
             target.gateway, sock = await try_in_turn(
                 self._ways(worker, direct, broken)
             )
@@ -131,21 +135,21 @@
 
     def _ways(
         self, worker: workers.Worker, direct: Way, broken: bool
-    ) -> list[Way]:
-        """Returns the ways to a worker in the order of their use."""
-        first_ms = FIRST_GATEWAY_SHARE * self.connect_timeout_ms
-        next_ms = SECOND_GATEWAY_SHARE * self.connect_timeout_ms
-        tunnelled = [
-            Way(
+    ) -> Iterator[Way]:
+        """Yields the ways to a worker in the order of their use.
+
+        Gateways are chosen only when they are needed, as that visits all.
+        """
+        if not broken:
+            yield direct
+        for gateway_id, host in self._gateways(worker):
+            yield Way(
                 gateway_id,
-                0 if broken and index == 0 else (first_ms, next_ms)[index],
-                lambda g=gateway_id, h=host: self._open_tunnel(g, h, worker),  # type: ignore[misc]
+                functools.partial(self._open_tunnel, gateway_id, host, worker),
+                SECOND_GATEWAY_SHARE * self.connect_timeout_ms,
             )
-            for index, (gateway_id, host) in enumerate(self._gateways(worker))
-        ]
         if broken:
-            return [*tunnelled, dataclasses.replace(direct, delay_ms=next_ms)]
-        return [direct, *tunnelled]
+            yield direct
 
     def _gateways(self, worker: workers.Worker) -> list[tuple[str, str]]:
         """Returns id and host of up to two gateways to ask.
@@ -198,10 +202,11 @@
     return host, int(port)
 
 
-async def try_in_turn(ways: Sequence[Way]) -> tuple[str, socket.socket]:
+async def try_in_turn(ways: Iterable[Way]) -> tuple[str, socket.socket]:
     """Opens one connection, by the way that succeeds first.
 
-    A way is tried when its delay is over or all earlier ones have failed.
+    A way is tried when the time of the one before is over, or when all earlier
+    ones have failed.
 
     Returns:
         The gateway of the way and the connection.
@@ -209,22 +214,20 @@
     Raises:
         OSError: All ways failed; the error is that of the direct one.
     """
-    if len(ways) == 1:
-        return ways[0].gateway, await ways[0].connect()
-    left = list(ways)
+    left = iter(ways)
     tasks: dict[asyncio.Task[socket.socket], str] = {}
     won: asyncio.Task[socket.socket] | None = None
     try:
         while won is None:
-            if left:
-                way = left.pop(0)
-                tasks[asyncio.ensure_future(way.connect())] = way.gateway  # type: ignore[index]
+            way = next(left, None)
+            if way is not None:
+                tasks[asyncio.ensure_future(way.connect())] = way.gateway
             running = [task for task in tasks if not task.done()]
-            if not running and not left:
+            if not running:
                 break
             await asyncio.wait(
                 running,
-                timeout=left[0].delay_ms / 1000 if left else None,
+                timeout=None if way is None else way.patience_ms / 1000,
                 return_when=asyncio.FIRST_COMPLETED,
             )
             # If this process is delayed, timers fire before connections that
--- a/tests/gateway/test_dialing.py
+++ b/tests/gateway/test_dialing.py
@@ -17,7 +17,7 @@
         self.started = []
         self.opened = []
 
-    def add(self, gateway, delay_ms, result):
+    def add(self, gateway, patience_ms, result):
         async def connect():
             self.started.append(gateway)
             if isinstance(result, asyncio.Event):
@@ -28,7 +28,7 @@
             self.opened.append(sock)
             return sock
 
-        return dialing.Way(gateway, delay_ms, connect)
+        return dialing.Way(gateway, connect, patience_ms)
 
 
 async def test_a_way_that_fails_is_followed_by_the_next_at_once():
@@ -36,7 +36,7 @@
     ways = Ways()
     gateway, sock = await dialing.try_in_turn(
         [
-            ways.add("", 0, ConnectionRefusedError()),
+            ways.add("", LONG_MS, ConnectionRefusedError()),
             ways.add("g1", LONG_MS, OSError()),
             ways.add("g2", LONG_MS, None),
         ]
@@ -48,7 +48,7 @@
 async def test_a_way_that_hangs_is_followed_after_its_delay():
     ways = Ways()
     gateway, sock = await dialing.try_in_turn(
-        [ways.add("", 0, asyncio.Event()), ways.add("g1", 1, None)]
+        [ways.add("", 1, asyncio.Event()), ways.add("g1", LONG_MS, None)]
     )
     assert gateway == "g1"
     sock.close()
@@ -57,7 +57,7 @@
 async def test_no_second_way_is_tried_while_the_first_one_connects():
     ways = Ways()
     gateway, sock = await dialing.try_in_turn(
-        [ways.add("", 0, None), ways.add("g1", LONG_MS, None)]
+        [ways.add("", LONG_MS, None), ways.add("g1", LONG_MS, None)]
     )
     assert (gateway, ways.started) == ("", [""])
     sock.close()
@@ -68,7 +68,9 @@
     ways = Ways()
     late = asyncio.Event()
     attempt = asyncio.create_task(
-        dialing.try_in_turn([ways.add("", 0, late), ways.add("g1", 1, late)])
+        dialing.try_in_turn(
+            [ways.add("", 1, late), ways.add("g1", LONG_MS, late)]
+        )
     )
     await asyncio.sleep(0.05)
     late.set()
@@ -85,7 +87,7 @@
     late = asyncio.Event()
     attempt = asyncio.create_task(
         dialing.try_in_turn(
-            [ways.add("", 0, late), ways.add("g1", LONG_MS, None)]
+            [ways.add("", LONG_MS, late), ways.add("g1", LONG_MS, None)]
         )
     )
     await asyncio.sleep(0)
@@ -102,7 +104,19 @@
     with pytest.raises(ConnectionRefusedError):
         await dialing.try_in_turn(
             [
-                ways.add("g1", 0, OSError()),
-                ways.add("", 1, ConnectionRefusedError()),
+                ways.add("g1", LONG_MS, OSError()),
+                ways.add("", LONG_MS, ConnectionRefusedError()),
             ]
         )
+
+
+async def test_further_ways_are_not_chosen_while_the_first_one_connects():
+    """Guards against a choice among all gateways for each connection."""
+    ways = Ways()
+
+    def choose():
+        yield ways.add("", LONG_MS, None)
+        raise AssertionError("a second way was chosen")
+
+    _, sock = await dialing.try_in_turn(choose())
+    sock.close()
