--- a/tests/gateway/test_worker_client.py
+++ b/tests/gateway/test_worker_client.py
@@ -8,7 +8,7 @@
 import pytest
 
 from oleanderbay.connection import sockets
-from oleanderbay.gateway import interfaces, worker_client
+from oleanderbay.gateway import dialing, interfaces, worker_client
 from tests.gateway import parts
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -233,3 +233,74 @@
         max_bytes=events,
     )
     assert (status, len(body)) == (200, events)
+
+
+@contextlib.asynccontextmanager
+async def tunnelled_response(data, reset=False):
+    """Yields a response that came through another gateway."""
+    served = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(data)
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if reset:
+            sockets.reset_on_close(writer.get_extra_info("socket"))
+            writer.transport.abort()
+        writer.close()
+        served.set()
+
+    async def open_socket(host, port):
+        dialing._TARGET.get().gateway = "g2"
+        return await sockets.connect(host, port)
+
+    server = await asyncio.start_server(serve, "127.0.0.1")
+    host, port = server.sockets[0].getsockname()
+    client = parts.make_client(idle_ms=1_000)
+    client.dialer.open_socket = open_socket
+    await client.start()
+    caller_request = interfaces.CallerRequest(
+        id="r1", method="GET", host="api", target="/a", headers=HEADERS
+    )
+    worker = parts.worker("w0", address=f"{host}:{port}")
+    try:
+        yield (
+            client,
+            await client.send_request(
+                worker,
+                caller_request,
+                caller_request.headers,
+                5_000,
+                reuse=True,
+            ),
+        )
+    finally:
+        await served.wait()
+        await client.close()
+        server.close()
+
+
+async def test_a_tunnelled_connection_is_not_kept():
+    """Guards against requests on a path that is used only while needed."""
+    async with tunnelled_response(FIXED) as (client, response):
+        assert await response.read_all(5_000, 1_000) == b"abc"
+        response.close(keep=True)
+        assert not client.pool.idle
+
+
+async def test_the_end_of_a_tunnel_does_not_complete_a_response():
+    """Guards against a gateway whose end looks like that of an answer."""
+    async with tunnelled_response(OK + b"\r\nabc") as (_, response):
+        with pytest.raises(worker_client.AttemptError) as raised:
+            await response.read_all(5_000, 1_000)
+        assert raised.value.tunnelled and raised.value.may_have_arrived
+        response.close()
+
+
+async def test_a_broken_tunnel_is_no_crash_of_the_worker():
+    async with tunnelled_response(FIXED[:-1], reset=True) as (_, response):
+        with pytest.raises(worker_client.AttemptError) as raised:
+            await response.read_all(5_000, 1_000)
+        assert raised.value.tunnelled and not raised.value.broken_off
+        response.close()
