--- a/tests/gateway/test_telemetry.py
+++ b/tests/gateway/test_telemetry.py
@@ -99,7 +99,7 @@
     sink.begin.side_effect = lambda *_: setattr(sink, "started", True)
     clock = clocks.ManualClock()
     shared = {
-        "selector": mock.Mock(),
+        "selector": mock.Mock(rest_left_ms=lambda *_: 0),
         "worker_health": health.HealthTracker(clock),
         "retry_budget": mock.Mock(),
         "prompt_quarantine": quarantine.PromptQuarantine(clock, 1_000),
@@ -110,7 +110,9 @@
     attempts = attempt.Dependencies(
         client=mock.Mock(send_request=mock.AsyncMock(side_effect=exchanges)),
         translator=mock.Mock(
-            classify_response=lambda *_: interfaces.ResponseClass.SUCCESS
+            classify_response=lambda *_: interfaces.ResponseClass.SUCCESS,
+            rest_ms=lambda *_: 0,
+            is_leaving=lambda _: False,
         ),
         limits=mock.Mock(),
         max_answer_bytes=1,
