Split addresses of workers with the function that exists

Found by reading the change: the dialer had a copy of settings.split_address, and the tunnels and the check of crashed workers split addresses by themselves. Behaviour stays as it is.

Checked: formatter, linter, types, and the tests of ways, tunnels, partitions, crash detection, entry, pipeline, client and telemetry.

--- a/oleanderbay/gateway/crash_detection.py
+++ b/oleanderbay/gateway/crash_detection.py
@@ -7,7 +7,7 @@
 import structlog
 import xxhash
 
-from oleanderbay.gateway import interfaces, table, tasks, workers
+from oleanderbay.gateway import interfaces, settings, table, tasks, workers
 from oleanderbay.process import clock as clocks
 
 # Delays of the checks after a connection broke. A crashed worker may refuse
@@ -145,8 +145,9 @@
         ConnectionRefusedError: Nothing listens at the worker's address.
         OSError: The worker is not reachable.
     """
-    host, _, port = worker.address.rpartition(":")
-    _, writer = await asyncio.open_connection(host, int(port))
+    _, writer = await asyncio.open_connection(
+        *settings.split_address(worker.address)
+    )
     writer.transport.abort()
 
 
--- a/oleanderbay/gateway/dialing.py
+++ b/oleanderbay/gateway/dialing.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 
 from oleanderbay.connection import sockets
-from oleanderbay.gateway import membership, paths, tunnels, workers
+from oleanderbay.gateway import membership, paths, settings, tunnels, workers
 from oleanderbay.process import clock as clocks
 
 # Parts of the connect timeout after which another gateway is asked as well,
@@ -130,7 +130,9 @@
             TimeoutError, OSError: No way leads to the worker.
         """
         with connecting_to(worker):
-            sock = await self.open_socket(*split_address(worker))
+            sock = await self.open_socket(
+                *settings.split_address(worker.address)
+            )
         sock.close()
 
     def _ways(
@@ -189,19 +191,15 @@
     """Whether a direct connection to a worker can be opened."""
     try:
         async with asyncio.timeout(timeout_ms / 1000):
-            sock = await sockets.connect(*split_address(worker))
+            sock = await sockets.connect(
+                *settings.split_address(worker.address)
+            )
     except (TimeoutError, OSError):
         return False
     sock.close()
     return True
 
 
-def split_address(worker: workers.Worker) -> tuple[str, int]:
-    """Returns host and port of a worker."""
-    host, _, port = worker.address.rpartition(":")
-    return host, int(port)
-
-
 async def try_in_turn(ways: Iterable[Way]) -> tuple[str, socket.socket]:
     """Opens one connection, by the way that succeeds first.
 
--- a/oleanderbay/gateway/tunnels.py
+++ b/oleanderbay/gateway/tunnels.py
@@ -10,7 +10,7 @@
 import structlog
 
 from oleanderbay.connection import frames, sockets
-from oleanderbay.gateway import workers
+from oleanderbay.gateway import settings, workers
 from oleanderbay.process import clock as clocks
 
 # Kind of the frames that open a tunnel.
@@ -193,9 +193,10 @@
     async def _connect(
         self, worker: workers.Worker
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        host, _, port = worker.address.rpartition(":")
         async with asyncio.timeout(self.connect_timeout_ms / 1000):
-            return await asyncio.open_connection(host, int(port))
+            return await asyncio.open_connection(
+                *settings.split_address(worker.address)
+            )
 
     async def _relay(
         self,
