Show that a planned stop cuts off requests that come after 3 s

Reproduces the incident with real processes over loopback: 'python -m bench.planned_stops' stops gateways under load by callers that keep their connections until a process has gone, and checks what they and the workers saw.

--- a/bench/harness.py
+++ b/bench/harness.py
@@ -29,8 +29,10 @@
         "gateway_requests",
         "gateway_store",
         "harness",
+        "planned_stops",
         "processes",
         "report",
+        "stop_callers",
     )
 )
 
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -19,10 +19,10 @@
 COMMAND = (sys.executable, "-m", "oleanderbay")
 
 
-def free_port() -> int:
-    """Returns a port that nothing listens on now."""
+def free_port(host: str = HOST) -> int:
+    """Returns a port of a host that nothing listens on now."""
     with socket.socket() as probe:
-        probe.bind((HOST, 0))
+        probe.bind((host, 0))
         port: int = probe.getsockname()[1]
         return port
 
--- a/oleanderbay/standins/group_worker.py
+++ b/oleanderbay/standins/group_worker.py
@@ -1,7 +1,9 @@
 """A stand-in for a worker that serves models in groups.
 
 A path that begins with `/stream` is answered with events, any other with a
-JSON description of the request.
+JSON description of the request. The query of a request may state the number of
+`events`, the `bytes` of each event or of the description, and the time before
+each, `gap_ms`.
 """
 
 import asyncio
@@ -83,6 +85,8 @@
         at_fault: Member that the head names in a 503; empty for none.
         hold_after: Event after which streams wait for `released`.
         changed: Called after each change of the record.
+        ended: Called at the end of each execution, with whether its answer
+            is complete.
     """
 
     def __init__(
@@ -119,6 +123,7 @@
         self.hold_after = -1
         self.released = asyncio.Event()
         self.changed: Callable[[], None] = lambda: None
+        self.ended: Callable[[Execution, bool], None] = lambda *_: None
         self.group: dict[str, Any] | None = None
         self.members: tuple[str, ...] = ()
         self.model = ""
@@ -264,23 +269,26 @@
             return self._refusal(421)
         if self.spend("refuse"):
             return self._refusal(503)
-        self.executions.append(
-            Execution(
-                request_id=request.headers.get(names.REQUEST_ID, ""),
-                headers={k.lower(): v for k, v in request.headers.items()},
-                path=request.raw_path,
-                body=body,
-                port=self._port(request),
-            )
+        execution = Execution(
+            request_id=request.headers.get(names.REQUEST_ID, ""),
+            headers={k.lower(): v for k, v in request.headers.items()},
+            path=request.raw_path,
+            body=body,
+            port=self._port(request),
         )
+        self.executions.append(execution)
         self._open.append(request)
+        complete = False
         try:
-            return await self._answer(request, body)
+            response = await self._answer(request, body)
+            complete = True
+            return response
         except (asyncio.CancelledError, ConnectionError):
             self.abandoned += 1
             raise
         finally:
             self._open.remove(request)
+            self.ended(execution, complete)
 
     async def _answer(
         self, request: web.Request, body: bytes
@@ -316,6 +324,8 @@
         if request.path.startswith("/stream"):
             return await self._stream(request, headers)
         whole = json.dumps({"worker": self.id, "bytes": len(body)}).encode()
+        whole = whole.ljust(int(request.query.get("bytes", "0")))
+        await self._wait_gap(request)
         if self.spend("no_length_reset"):
             return await self._raw(request, headers, whole[:5], reset=True)
         if self.spend("extra_bytes"):
@@ -342,8 +352,12 @@
                 self._reset(other)
             return self._reset(request)
         first = int(request.headers.get(names.LAST_EVENT_ID, "-1")) + 1
-        for number in range(first, self.events):
-            data = f"id: {number}\ndata: {number}\n\n".encode()
+        size = int(request.query.get("bytes", "0"))
+        for number in range(
+            first, int(request.query.get("events", self.events))
+        ):
+            await self._wait_gap(request)
+            data = f"id: {number}\ndata: {number:<{size or 1}}\n\n".encode()
             if number == 2 and self.spend("reset_in_event"):
                 await response.write(data[:8])
                 # Lets the part reach the reader before the reset drops it.
@@ -355,6 +369,11 @@
         await response.write_eof()
         return response
 
+    async def _wait_gap(self, request: web.Request) -> None:
+        gap_ms = int(request.query.get("gap_ms", "0"))
+        if gap_ms:
+            await self.clock.sleep_ms(gap_ms)
+
     async def _raw(
         self,
         request: web.Request,
