Close a listening socket although peers reconnect at once

What callers saw: nothing yet; found while the limit of a planned stop was mended. A test whose callers send again as soon as they are refused ran for ten minutes without an end, at full processor time.

Cause: stop_accepting accepted until no connection was waiting, and turned the event loop for each one. Peers that are answered and reconnect in that turn keep one waiting for good, so the listener stays open, the stop never gets to wait for its requests, and the process is killed at the end of its grace period with all that it was doing.

Change: all connections that wait are accepted without a turn of the event loop in between, then the socket is closed, and only then they are served.

--- a/oleanderbay/connection/sockets.py
+++ b/oleanderbay/connection/sockets.py
@@ -87,19 +87,28 @@
         loop.remove_reader(sock)
     for _ in range(ACCEPT_TURNS):
         await clocks.next_turn()
-    for sock in listening:
-        while (accepted := _accept(sock)) is not None:
-            await loop.connect_accepted_socket(protocol, accepted)
-    # Nothing may be awaited between the last accept and the close.
+    # Nothing is awaited before the close: peers that reconnect as soon as they
+    # are answered would keep the socket open, and a connection that comes after
+    # the last accept would be reset.
+    accepted = [
+        connection for sock in listening for connection in _accept(sock)
+    ]
     server.close()
     for sock in listening:
         sock.close()
-
-
-def _accept(sock: socket.socket) -> socket.socket | None:
-    try:
-        accepted, _ = sock.accept()
-    except BlockingIOError:
-        return None
-    accepted.setblocking(False)
-    return accepted
+    for connection in accepted:
+        await loop.connect_accepted_socket(protocol, connection)
+
+
+def _accept(sock: socket.socket) -> list[socket.socket]:
+    """Accepts the connections that wait for a listening socket."""
+    accepted: list[socket.socket] = []
+    while True:
+        try:
+            connection, _ = sock.accept()
+        except ConnectionAbortedError:
+            continue
+        except OSError:
+            return accepted
+        connection.setblocking(False)
+        accepted.append(connection)
