End the connections of peers when a gateway stops

What was seen: asyncio logged 'Exception in callback StreamReaderProtocol.connection_made' 5 times in 9 stops of gateways that ran as processes. Callers saw nothing.

Cause: close() ended the listening socket only. Tasks that serve connections of peers, tunnels among them, went on until the end of the event loop cancelled them. Versions of asyncio that add a callback to the tasks they create for connections then ask the cancelled task for its exception.

Change: the tasks are created here, where no such callback is added, and close() cancels them.

The log line itself does not come up with Python 3.11.6, whose connection_made adds no callback; with no coroutine to run, no version adds one.

--- a/oleanderbay/gateway/peers.py
+++ b/oleanderbay/gateway/peers.py
@@ -18,6 +18,7 @@
     positions,
     relays,
     summaries,
+    tasks,
 )
 from oleanderbay.gateway import settings as settings_module
 from oleanderbay.gateway import telemetry as telemetry_module
@@ -112,6 +113,7 @@
         self._forwarded_datagrams = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
+        self._connections = tasks.KeyedTasks(OSError)
 
     async def start(self) -> None:
         """Opens the sockets."""
@@ -120,15 +122,16 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: _DatagramProtocol(self._received), local_addr=local_address
         )
-        self._server = await asyncio.start_server(self._serve, *local_address)
+        self._server = await asyncio.start_server(self._accept, *local_address)
 
     async def close(self) -> None:
-        """Closes the sockets."""
+        """Closes the sockets and ends the connections of peers."""
         self.fetcher.close()
         if self._transport is not None:
             self._transport.close()
         if self._server is not None:
             self._server.close()
+        self._connections.close()
 
     async def run(self) -> None:
         """Sends heartbeats and summaries at their intervals until cancelled."""
@@ -346,6 +349,13 @@
                 self.apply_contents(peer.id, summaries.EMPTY_CONTENTS)
         self.apply_contents(summaries.zone_source(summary.zone), summary.sums)
 
+    def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        # Some versions of asyncio log an error for each task of a connection
+        # that is cancelled, if they have created it themselves.
+        self._connections.start(writer, self._serve(reader, writer))
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,13 +1,15 @@
 """Tests of the heartbeat rate and of which peers count as live."""
 
+import asyncio
 import dataclasses
 
 import msgpack
 import pytest
 
+from oleanderbay.connection import frames
 from oleanderbay.gateway import feed, interfaces, peers, relays, summaries
 from oleanderbay.process import clock as clocks
-from tests.gateway import parts
+from tests.gateway import parts, site
 
 
 class RecordingTransport:
@@ -127,3 +129,31 @@
     receiver.clock.set_ms(4_001)
     receiver.send_heartbeats()
     assert receiver.gateway_count() == 1
+
+
+# A stop left connections of peers open until the process ended, when some
+# versions of asyncio logged an error for each.
+async def test_a_stop_ends_connections_of_peers_without_an_error():
+    gateway = make_gateway(port=site.free_port())
+    serving = asyncio.Event()
+
+    async def serve(request, reader, writer):
+        serving.set()
+        await reader.read()
+
+    gateway.handlers["kept open"] = serve
+    errors = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda loop, context: errors.append(context["message"])
+    )
+    await gateway.start()
+    reader, writer = await asyncio.open_connection(
+        "127.0.0.1", gateway.config.peers.port
+    )
+    writer.write(frames.encode("kept open", 1, None))
+    await serving.wait()
+    await gateway.close()
+    async with asyncio.timeout(5):
+        assert await reader.read() == b""
+    writer.close()
+    assert not errors
