Refuse tunnels of other gateways from the signal of a stop on

What callers would see: streams of a partitioned gateway that lead through one that got a SIGTERM, cut off 7.4 s after it. Their own gateway does not stop, so nothing excuses it.

Cause: new tunnels were refused only when the listener closes, 3 s after the signal, and a tunnel is not limited by the time its request may take. Other gateways know of the stop by one datagram, which may be lost, or by the summary of a zone, which takes a few heartbeats. A tunnel whose connection to the worker was being opened at that moment was used as well.

Change: the server refuses tunnels from the signal on, and checks it again once the connection is open. Tunnels that are open last until the end of the stop.

Why it works: a refused gateway answers 'busy' before the worker gets a byte, and the partitioned gateway takes its next way at once.

--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -430,6 +430,7 @@
         self.leaving = True
         cached_ms = stop.directory_ttl_ms * stop.kept_factor
         self.listeners.leave(end_ms, started_ms + cached_ms)
+        self.tunnels.leave()
         log.info("leaving", in_progress=self.listeners.in_progress)
         self.peers.send_heartbeats()
         await self.domain_ownership.release()
--- a/oleanderbay/gateway/tunnels.py
+++ b/oleanderbay/gateway/tunnels.py
@@ -170,9 +170,11 @@
                     worker_reader, worker_writer = await self._connect(worker)
                 except (TimeoutError, OSError):
                     answer = Answer.UNREACHABLE
+                else:
+                    answer = Answer.BUSY if self._leaving else Answer.OPEN
             writer.write(frames.encode(TUNNEL, request.request_id, answer))
             await writer.drain()
-            if worker_writer is not None:
+            if answer is Answer.OPEN and worker_writer is not None:
                 sockets.detect_loss(writer.get_extra_info("socket"))
                 await self._relay(reader, writer, worker_reader, worker_writer)
         finally:
@@ -180,13 +182,21 @@
             if worker_writer is not None:
                 worker_writer.transport.abort()
 
+    def leave(self) -> None:
+        """Opens no more tunnels.
+
+        The other gateway does not know when this one stops, so it can't tell
+        which of its requests would be cut off.
+        """
+        self._leaving = True
+
     async def drain(self, end_ms: int) -> None:
         """Opens no more tunnels, and waits until the others are closed.
 
         Args:
             end_ms: Monotonic time at which the wait ends in any case.
         """
-        self._leaving = True
+        self.leave()
         while self.count and self.clock.now_ms() < end_ms:
             await self.clock.sleep_ms(DRAIN_POLL_MS)
 
--- a/tests/gateway/test_partitions.py
+++ b/tests/gateway/test_partitions.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 import pytest
 
+from oleanderbay.gateway import settings
 from tests.gateway import links, parts
 from tests.gateway import site as site_module
 
@@ -120,3 +122,53 @@
     await asyncio.gather(*calls, return_exceptions=True)
     result = await site.call(gateway, "/stream/whole/a", prompt="hot:9,o:9")
     assert result == (200, site_module.STREAM)
+
+
+@contextlib.asynccontextmanager
+async def partitioned_beside_two():
+    """Runs three gateways, the first of which reaches no worker itself."""
+    async with contextlib.AsyncExitStack() as stack:
+        site = site_module.Site(
+            ("127.0.0.1", "127.0.0.2", "127.0.0.3"), linked=True
+        )
+        await site.start(stack)
+        await site.wait_for_groups()
+        cut(site, site.gateways[0], links.Cut.RESET)
+        await serves(site, site.gateways[0])
+        yield site
+
+
+# Streams that were sent through a gateway after its SIGTERM, because its
+# announcement was lost, were cut off at the end of its stop.
+async def test_a_gateway_that_stops_carries_no_new_requests_of_others(
+    monkeypatch,
+):
+    async with partitioned_beside_two() as site:
+        partitioned, stopping, other = site.gateways
+        stopping.config = dataclasses.replace(
+            stopping.config,
+            stop=settings.StopSettings(grace_ms=2_600, directory_ttl_ms=1_000),
+        )
+        monkeypatch.setattr(stopping.peers, "send_heartbeats", lambda: None)
+        stop = asyncio.create_task(stopping.stop_gracefully())
+        await asyncio.sleep(0.1)
+        # The stopping gateway is asked first.
+        avoided = partitioned.dialer._avoided_until_ms
+        avoided[other.config.entry.id] = partitioned.clock.now_ms() + 1_000
+        answers = await asyncio.gather(
+            *(
+                site.call(
+                    partitioned,
+                    "/stream/whole/a?events=25&gap_ms=100",
+                    request_id=f"long{number}",
+                )
+                for number in range(4)
+            ),
+            return_exceptions=True,
+        )
+        await stop
+        whole = [not isinstance(a, BaseException) for a in answers]
+        assert whole == [True] * 4, answers
+        for status, body in answers:
+            assert status == 200
+            assert body.count(b"id: ") == 25
--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -191,6 +191,28 @@
     await drain
 
 
+# A tunnel whose connection was being opened at the signal carried a request
+# that the end of the stop may cut off.
+async def test_a_tunnel_that_is_being_opened_at_a_stop_is_refused(
+    rig, monkeypatch
+):
+    connecting, leaving = asyncio.Event(), asyncio.Event()
+    connect = rig.server._connect
+
+    async def connect_slowly(worker):
+        connecting.set()
+        await leaving.wait()
+        return await connect(worker)
+
+    monkeypatch.setattr(rig.server, "_connect", connect_slowly)
+    opened = asyncio.create_task(rig.open())
+    await connecting.wait()
+    rig.server.leave()
+    leaving.set()
+    with pytest.raises(tunnels.TunnelError, match="busy"):
+        await opened
+
+
 async def test_bytes_after_the_answer_are_left_to_the_connection(rig):
     """Guards against bytes of the worker that are lost with the answer."""
 
