Keep a tunnel until the other gateway has been sent the whole answer

What callers would see: answers without their end, if they read slowly and their gateway gets them through one that stops.

Cause: a tunnel counted as closed once less than 64 KB of its answer were left in the buffer of the connection. A stop that waits for tunnels then ended the process, and with it what was in the buffer.

Change: each part of an answer is handed to the kernel whole before the next one is read; the kernel sends it after the end of the process too.

Evidence: with an answer of 60,000 bytes and a peer that does not read, the tunnel had ended with bytes in the buffer before; it lasts until they are read now.

--- a/oleanderbay/gateway/tunnels.py
+++ b/oleanderbay/gateway/tunnels.py
@@ -176,6 +176,9 @@
             await writer.drain()
             if answer is Answer.OPEN and worker_writer is not None:
                 sockets.detect_loss(writer.get_extra_info("socket"))
+                # A tunnel ends only once the kernel has the whole answer, which
+                # the end of this process then doesn't lose.
+                writer.transport.set_write_buffer_limits(0)
                 await self._relay(reader, writer, worker_reader, worker_writer)
         finally:
             self.count -= 1
--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -23,6 +23,7 @@
         self.arrived = asyncio.Queue()
         self.settled = 0
         self.writers = []
+        self.served = []
         self.server = tunnels.TunnelServer(
             clocks.SystemClock(),
             500,
@@ -59,6 +60,7 @@
         await self.arrived.put((reader, writer))
 
     async def _accept_gateway(self, reader, writer):
+        self.served.append(writer)
         with contextlib.suppress(OSError, frames.FrameError):
             await self.server.serve(await frames.read(reader), reader, writer)
         writer.close()
@@ -213,6 +215,34 @@
         await opened
 
 
+# The end of an answer that a gateway had read, but could not send yet, was lost
+# when its process ended.
+async def test_a_tunnel_lasts_until_its_answer_is_sent(rig):
+    small = socket.socket()
+    small.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    small.bind((OWN_HOST, 0))
+    small.connect(("127.0.0.1", rig.port))
+    small.setblocking(False)
+    # The reader takes no more than its buffer holds until it is read from.
+    reader, writer = await asyncio.open_connection(sock=small, limit=1_024)
+    writer.write(frames.encode(tunnels.TUNNEL, 1, ["w", 5]))
+    assert (await frames.read(reader)).body == tunnels.Answer.OPEN
+    (served,) = rig.served
+    served.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096
+    )
+    _, worker_writer = await rig.arrived.get()
+    answer = 60_000 * b"a"
+    worker_writer.write(answer)
+    worker_writer.close()
+    await asyncio.sleep(0.2)
+    assert served.transport.get_write_buffer_size() > 0
+    assert rig.server.count == 1
+    assert await reader.read() == answer
+    await parts.wait_until(lambda: rig.server.count == 0)
+    writer.close()
+
+
 async def test_bytes_after_the_answer_are_left_to_the_connection(rig):
     """Guards against bytes of the worker that are lost with the answer."""
 
