Refuse requests late in the limited shutdown of an entry

What callers would see: streams that an entry accepts up to the limit of its shutdown, and cuts off there without an end. It takes a limit that is not much longer than callers keep address answers (5 s and 1 s for the announcement); the default is 120 s.

Cause: requests were accepted until the address answers had expired or the limit was reached, whichever was first, without a look at the time that is left.

Change: once a third of the limit has passed, new requests are refused as not run, as gateways do. With the default nothing changes, since address answers expire before.

--- a/oleanderbay/process/entry.py
+++ b/oleanderbay/process/entry.py
@@ -39,6 +39,9 @@
 ANNOUNCE_MS = 1_000
 # How often the end of requests in progress is looked for.
 SHUTDOWN_STEP_MS = 50
+# Last part of a shutdown's limit, in which all new requests are refused: one
+# that is accepted later may need more time than is left.
+LATE_SHARE = 2 / 3
 
 log = structlog.get_logger()
 
@@ -233,6 +236,7 @@
         """
         config = self.config.shutdown
         begun_ms = self.clock.now_ms()
+        early_ms = (1 - LATE_SHARE) * config.limit_ms
 
         def over() -> bool:
             aborted = again is not None and again.is_set()
@@ -252,6 +256,9 @@
                 + self.config.callers.address_ttl_ms,
             )
         while self.clock.now_ms() < until_ms and not over():
+            spent_ms = self.clock.now_ms() - begun_ms
+            if config.limit_ms and spent_ms >= early_ms:
+                self.closing = True
             await self.clock.sleep_ms(SHUTDOWN_STEP_MS)
         self.closing = True
         await self.serving.listener.drain(over)
--- a/oleanderbay/process/settings.py
+++ b/oleanderbay/process/settings.py
@@ -149,7 +149,8 @@
 
     Attributes:
         limit_ms: Time after which requests in progress are cut off; 0
-            waits without a limit.
+            waits without a limit. Requests that come after a third of it
+            are refused.
         second_signal: Whether a second signal is ignored or ends the
             process at once.
     """
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -114,6 +114,51 @@
         assert shown.bookings() == 0
 
 
+async def _stream(entry, count):
+    """Returns status, outcome and whether the answer was whole."""
+    body = {
+        "model": fleet.MODEL,
+        "prompt": "late",
+        "max_tokens": count,
+        "stream": True,
+    }
+    url = f"http://{entry.me.caller_address}/v1/completions"
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(url, json=body, headers=HEADERS) as answer,
+    ):
+        known = answer.headers["Oleanderbay-Outcome"]
+        try:
+            await answer.read()
+        except aiohttp.ClientError:
+            return answer.status, known, False
+        return answer.status, known, True
+
+
+# With a short limit, streams were accepted until callers' address answers had
+# expired, up to the very end of a planned stop, and then cut off.
+async def test_a_request_late_in_a_short_shutdown_is_refused_as_not_run():
+    async with _serving() as (shown, entry, _):
+        entry.config = dataclasses.replace(
+            entry.config, shutdown=settings.ShutdownSettings(limit_ms=900)
+        )
+        clock = clocks.ManualClock()
+        clock.set_ms(entry.serving.directory.last_expiry_ms - 800)
+        entry.clock = clock
+        stopping = asyncio.create_task(entry.shut_down())
+        await shown.wait(lambda: entry.replication.members.me.leaving, 10_000)
+        early = asyncio.create_task(_stream(entry, 10))
+        assert await early == (200, "answered", True)
+        for _ in range(500 // entries.SHUTDOWN_STEP_MS):
+            await clock.advance(entries.SHUTDOWN_STEP_MS)
+            await shown.clock.sleep_ms(entries.SHUTDOWN_STEP_MS)
+        late = asyncio.create_task(_stream(entry, 150))
+        await shown.clock.sleep_ms(500)
+        await _step(shown, clock, stopping.done)
+        assert await late == (503, "not-run", True)
+        assert await stopping is True
+
+
 async def test_a_second_signal_ends_the_wait_if_settings_say_so():
     """An operator in a hurry must not have to kill the process."""
     async with _serving() as (shown, entry, caller):
