Send answers that are in write buffers before a stop ends

Cause: a handler returns while up to 64 KB of its answer are in the write buffer of the connection. The stop looked only at handlers and at input, closed the connections 3 s after the signal and ended the process, which drops the buffers.

Change: a connection is busy while its write buffer holds something, also when aiohttp is closing it or has forgotten its transport. The wait ends as before at the end of the stop, so a caller that never reads does not hold it for longer.

Why it works: the process ends only after the kernel has all bytes of the answers, and it sends these to the caller also after the end of the process.

--- a/oleanderbay/connection/aiohttp_internals.py
+++ b/oleanderbay/connection/aiohttp_internals.py
@@ -4,9 +4,10 @@
 3.14.5; the tests of this module report names that a later version removes.
 """
 
+import asyncio
 import socket
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, cast
 
 import aiohttp
 import yarl
@@ -193,7 +194,7 @@
         }
 
     def is_busy(self) -> bool:
-        """Whether any connection carries a request without an answer."""
+        """Whether any connection has a request or an answer under way."""
         return any(
             connection.is_busy
             for connection in self.connections
@@ -204,7 +205,14 @@
 class ServerProtocol(web.RequestHandler):
     """The server side of one connection."""
 
-    __slots__ = ()
+    __slots__ = ("_output",)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Starts serving."""
+        # aiohttp forgets the transport when it closes the connection, while
+        # the transport still sends what is in its write buffer.
+        self._output = cast(asyncio.Transport, transport)
+        super().connection_made(transport)
 
     @property
     def waiting_for_request(self) -> bool:
@@ -228,9 +236,14 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request has begun to arrive or is being answered."""
+        """Whether a request has begun to arrive or an answer is not sent.
+
+        A handler returns while up to 64 KB of its answer are in the write
+        buffer of the connection, which is lost when the process ends.
+        """
         return (
             self.handling_request
+            or self.unsent_bytes > 0
             or self.has_queued_requests
             or self.has_partial_head
             or (
@@ -243,8 +256,7 @@
     @property
     def unsent_bytes(self) -> int:
         """Number of bytes of responses that the socket has not taken yet."""
-        transport = self.transport
-        return 0 if transport is None else transport.get_write_buffer_size()
+        return self._output.get_write_buffer_size()
 
     @property
     def upgraded(self) -> bool:
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -241,3 +241,57 @@
         await stop
         for _, writer in (kept, busy):
             writer.close()
+
+
+# Small enough that a handler returns although the caller has read nothing.
+ANSWER = bytes(60_000)
+
+
+async def _answer(caller_request, caller_response):
+    await caller_response.send_complete(200, multidict.CIMultiDict(), ANSWER)
+
+
+async def _leave_answer_unsent(harness):
+    """Returns a caller whose answer waits in the gateway's write buffer."""
+    harness.pipeline_harness.pipeline.run = _answer
+    server = harness.listeners._caller_server
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    sock.connect(("127.0.0.1", harness.port))
+    sock.setblocking(False)
+    await parts.wait_until(lambda: server.connections)
+    (connection,) = server.connections
+    connection.transport.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096
+    )
+    await asyncio.get_running_loop().sock_sendall(sock, listener_harness.GET)
+    await parts.wait_until(connection.transport.get_write_buffer_size)
+    assert not connection.handling_request
+    return sock
+
+
+# Answers to callers that read slowly were in the write buffers of their
+# connections when the process ended, and were cut off.
+@pytest.mark.parametrize("state", ["kept", "closed after answer", "closed"])
+async def test_a_stop_waits_until_answers_have_left_the_write_buffers(state):
+    async with listener_harness.running_listener() as harness:
+        harness.listeners.leaving = state == "closed after answer"
+        caller = await _leave_answer_unsent(harness)
+        if state == "closed":
+            (connection,) = harness.listeners._caller_server.connections
+            connection.force_close()
+        stop = asyncio.create_task(_stop(harness))
+        await asyncio.sleep(0.2)
+        assert not stop.done()
+        assert (await _read_all(caller)).endswith(ANSWER)
+        async with asyncio.timeout(1):
+            await stop
+
+
+async def test_a_stop_ends_in_time_although_a_caller_does_not_read():
+    """Guards against a process that must be killed, which loses requests."""
+    async with listener_harness.running_listener() as harness:
+        caller = await _leave_answer_unsent(harness)
+        async with asyncio.timeout(2):
+            await _stop(harness, limit_ms=300)
+        await _read_all(caller)
--- a/tests/gateway/test_planned_stops.py
+++ b/tests/gateway/test_planned_stops.py
@@ -3,11 +3,13 @@
 import asyncio
 import contextlib
 import signal
+import socket
 
 import pytest
 
 from bench import planned_stops, stop_callers
 from oleanderbay.process import clock as clocks
+from tests.gateway import parts
 
 GRACE_MS = 8_000
 # Callers use directory answers until then, so the end of the grace period may
@@ -24,6 +26,50 @@
     )
 
 
+def answer(size):
+    return stop_callers.Kind(
+        name="post", path=f"/post/x?bytes={size}", deadline_ms=10_000
+    )
+
+
+def count_buffered_bytes():
+    """Returns how much the kernel takes for a caller that does not read."""
+    with contextlib.ExitStack() as stack:
+        listening = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+        caller = stack.enter_context(socket.socket())
+        caller.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_RCVBUF,
+            stop_callers.SLOW_BUFFER_BYTES,
+        )
+        caller.connect(listening.getsockname())
+        accepted = stack.enter_context(listening.accept()[0])
+        accepted.setblocking(False)
+        size = 0
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                size += accepted.send(bytes(1 << 23))
+        return size
+
+
+class LateReader:
+    """Reads nothing from a connection until an event is set."""
+
+    def __init__(self, reader, released):
+        self.reader = reader
+        self.released = released
+
+    async def readuntil(self, separator):
+        await self.released.wait()
+        return await self.reader.readuntil(separator)
+
+    async def readexactly(self, size):
+        return await self.reader.readexactly(size)
+
+    def at_eof(self):
+        return self.reader.at_eof()
+
+
 class Stopped:
     """One gateway process with one worker, which gets a SIGTERM."""
 
@@ -103,3 +149,29 @@
     assert late.complete, f"status {late.status}, cut off by the stop"
     assert late.status == 503 and not ran
     assert await stopped.wait_for_exit() < GRACE_MS
+
+
+# An answer was in the write buffer of its connection when the process ended,
+# and its caller, which read slowly, got only a part of it.
+async def test_an_answer_that_is_read_slowly_is_not_cut_off(stopped):
+    # What the kernel does not take, less than 64 KB, waits in the process.
+    kinds = [
+        answer(count_buffered_bytes() + size)
+        for size in (8_192, 24_576, 40_960, 57_344)
+    ]
+    released = asyncio.Event()
+    asked = []
+    for kind in kinds:
+        connection = await stopped.callers.connect(stopped.host, slow=True)
+        stopped.connections.append(connection)
+        connection.reader = LateReader(connection.reader, released)
+        asked.append(
+            asyncio.create_task(stopped.ask(connection, kind, slow=False))
+        )
+    await parts.wait_until(lambda: len(stopped.fleet.executions) == len(kinds))
+    stopped.terminate()
+    await stopped.sleep_until(EXCUSED_UNTIL_MS + 1_000)
+    released.set()
+    for sent in await asyncio.gather(*asked):
+        assert sent.complete and sent.status == 200, sent.kind.path
+    assert await stopped.wait_for_exit() < GRACE_MS
