Count a request as busy in the turn before its handler starts

What callers would see: a request that the gateway has read is ended without an answer when its stop closes the connections.

Cause: aiohttp takes a request from its queue and creates the task that handles it, which starts in the next turn of the event loop. In between the connection looked idle, so a stop that checked in this turn ended its wait.

Change: a connection is idle only while aiohttp waits for its next request; the time in which aiohttp discards the rest of a refused body counts as busy too. A connection that is closing is busy only for what it has to send.

Evidence: the test looks in each turn from the arrival of a request to its execution; one turn of these showed an idle connection before, none does now.

Why it works: aiohttp waits for a request in no turn between the arrival and the end of its answer.

--- a/oleanderbay/connection/aiohttp_internals.py
+++ b/oleanderbay/connection/aiohttp_internals.py
@@ -241,16 +241,14 @@
         A handler returns while up to 64 KB of its answer are in the write
         buffer of the connection, which is lost when the process ends.
         """
-        return (
-            self.handling_request
-            or self.unsent_bytes > 0
-            or self.has_queued_requests
+        if self.handling_request or self.unsent_bytes > 0:
+            return True
+        # A request that aiohttp has taken from its queue is handled from the
+        # next turn of the event loop on; until then, nothing waits for one.
+        return not self._output.is_closing() and (
+            not self.waiting_for_request
             or self.has_partial_head
-            or (
-                self.transport is not None
-                and not self.transport.is_closing()
-                and sockets.has_input(self.transport.get_extra_info("socket"))
-            )
+            or sockets.has_input(self._output.get_extra_info("socket"))
         )
 
     @property
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -9,6 +9,7 @@
 from structlog import testing
 
 from oleanderbay.gateway import table
+from oleanderbay.process import clock as clocks
 from oleanderbay.request import outcome
 from tests.gateway import listener_harness, parts
 
@@ -295,3 +296,26 @@
         async with asyncio.timeout(2):
             await _stop(harness, limit_ms=300)
         await _read_all(caller)
+
+
+# aiohttp takes a request from its queue one turn of the event loop before its
+# handler starts. A stop that looked in that turn saw an idle connection.
+async def test_a_request_is_seen_in_each_turn_until_it_is_answered():
+    async with listener_harness.running_listener() as harness:
+        server = harness.listeners._caller_server
+        sock = _send_at_once(harness.port, b"")
+        await parts.wait_until(lambda: server.connections)
+        await asyncio.sleep(0.05)
+        assert not server.is_busy()
+        sock.sendall(listener_harness.GET)
+        seen = []
+        async with asyncio.timeout(20):
+            while not harness.executions:
+                seen.append(server.is_busy())
+                await clocks.next_turn()
+        assert all(seen), seen
+        answer = await asyncio.get_running_loop().sock_recv(sock, 65_536)
+        assert answer.startswith(b"HTTP/1.1 200")
+        await asyncio.sleep(0.05)
+        assert not server.is_busy()
+        sock.close()
