Close callers' connections in the turn in which none is busy

Cause: the stop waited until no connection was busy, then for the tunnels of other gateways, and only then closed the connections. Requests that came meanwhile on open connections were accepted and passed on, and cancelled 50 ms after the close began. Without tunnels the gap lasted for a few turns of the event loop.

Change: the check and the close of all connections are one step without an await. Tunnels may go on after that.

Why it works: nothing can be read after the check that the close depends on, and nothing is in progress when the connections close before the end of the stop.

--- a/oleanderbay/connection/aiohttp_internals.py
+++ b/oleanderbay/connection/aiohttp_internals.py
@@ -201,6 +201,18 @@
             if isinstance(connection, ServerProtocol)
         )
 
+    def close_if_idle(self) -> bool:
+        """Closes all connections unless one is busy; returns whether it did.
+
+        The event loop does not turn between the check and the close, so no
+        request is read in between.
+        """
+        if self.is_busy():
+            return False
+        for connection in self.connections:
+            connection.force_close()
+        return True
+
 
 class ServerProtocol(web.RequestHandler):
     """The server side of one connection."""
--- a/oleanderbay/gateway/listener.py
+++ b/oleanderbay/gateway/listener.py
@@ -194,7 +194,7 @@
         self.pipeline.stop_limit.start(end_ms, expected_until_ms)
 
     async def drain(self, end_ms: int) -> None:
-        """Answers what callers have sent and accepts nothing more.
+        """Answers what callers have sent, then closes their connections.
 
         Args:
             end_ms: Monotonic time at which requests that still have no
@@ -205,22 +205,31 @@
             await sockets.stop_accepting(
                 self._caller_sockets, self._caller_server
             )
-        if await self._wait_until_idle(end_ms):
+        if await self._close_when_idle(end_ms):
             return
         self._log_stop("requests left at the end of a stop")
         self.pipeline.stop_waiting()
-        await self._wait_until_idle(self.clock.now_ms() + REFUSAL_MS)
+        await self._close_when_idle(self.clock.now_ms() + REFUSAL_MS)
 
-    async def _wait_until_idle(self, end_ms: int) -> bool:
-        """Waits until no request is left; returns whether that was in time."""
-        while self._caller_server is not None and self._caller_server.is_busy():
+    async def _close_when_idle(self, end_ms: int) -> bool:
+        """Closes the connections once no request is left.
+
+        Returns:
+            Whether that was in time.
+        """
+        server = self._caller_server
+        while server is not None and not server.close_if_idle():
             if self.clock.now_ms() >= end_ms:
                 return False
             await self.clock.sleep_ms(DRAIN_POLL_MS)
         return True
 
     async def close(self, limit_ms: int) -> None:
-        """Closes all connections after their requests, within a time limit."""
+        """Closes the connections that are left; cancels their requests.
+
+        Args:
+            limit_ms: Time that requests get to end before that.
+        """
         self._log_stop("connections close")
         if self._caller_sockets is not None:
             self._caller_sockets.close()
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -319,3 +319,25 @@
         await asyncio.sleep(0.05)
         assert not server.is_busy()
         sock.close()
+
+
+# A request that came between the end of the wait for requests and the close of
+# its connection was passed on to a worker and then cancelled without an answer.
+# While tunnels of other gateways were open, that time was as long as they were.
+async def test_no_request_is_passed_on_after_a_stop_has_found_none():
+    async with listener_harness.running_listener() as harness:
+        listeners = harness.listeners
+        for worker in harness.pipeline_harness.workers:
+            worker.faults["stall"] = 1
+        reader, writer = await harness.connect()
+        await parts.wait_until(lambda: listeners._caller_server.connections)
+        end_ms = listeners.clock.now_ms() + 5_000
+        listeners.leave(end_ms, expected_until_ms=end_ms)
+        await listeners.drain(end_ms)
+        writer.write(listener_harness.GET)
+        await asyncio.sleep(0.05)
+        await listeners.close(50)
+        with contextlib.suppress(ConnectionError):
+            assert await reader.read() == b""
+        assert not harness.executions
+        writer.close()
--- a/tests/gateway/test_planned_stops.py
+++ b/tests/gateway/test_planned_stops.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bench import planned_stops, stop_callers
+from oleanderbay.gateway import tunnels, workers
 from oleanderbay.process import clock as clocks
 from tests.gateway import parts
 
@@ -71,17 +72,20 @@
 
 
 class Stopped:
-    """One gateway process with one worker, which gets a SIGTERM."""
+    """Gateway processes with one worker; the first one gets a SIGTERM."""
 
-    def __init__(self):
+    def __init__(self, gateways):
         self.clock = clocks.SystemClock()
         self.fleet = planned_stops.Fleet(
             planned_stops.Options(
-                gateways=1, workers=1, callers=0, grace_ms=GRACE_MS
+                gateways=gateways,
+                workers=1,
+                callers=0,
+                grace_ms=GRACE_MS,
             ),
             self.clock,
         )
-        (self.host,) = self.fleet.hosts
+        self.host, *_ = self.fleet.hosts
         self.callers = stop_callers.Callers(
             0,
             0.0,
@@ -122,8 +126,8 @@
 
 
 @pytest.fixture
-async def stopped():
-    run = Stopped()
+async def stopped(request):
+    run = Stopped(getattr(request, "param", 1))
     async with contextlib.AsyncExitStack() as stack:
         stack.push_async_callback(run.fleet.close)
         await run.fleet.start()
@@ -175,3 +179,34 @@
     for sent in await asyncio.gather(*asked):
         assert sent.complete and sent.status == 200, sent.kind.path
     assert await stopped.wait_for_exit() < GRACE_MS
+
+
+# A stop that had found no requests waited for the tunnels of other gateways,
+# and then cut off the requests that had come on open connections meanwhile.
+@pytest.mark.parametrize("stopped", [2], indirect=True)
+async def test_no_request_is_cut_off_once_the_last_tunnel_closes(stopped):
+    kept = await stopped.connect()
+    (worker,) = stopped.fleet.workers
+    tunnel = await tunnels.open_tunnel(
+        stopped.host,
+        stopped.fleet.ports["peers"],
+        stopped.fleet.hosts[1],
+        workers.Worker(
+            id=worker.id,
+            service=worker.service,
+            address=worker.address,
+            zone=worker.zone,
+            started_ms=worker.born_ms,
+        ),
+    )
+    stopped.terminate()
+    await stopped.sleep_until(EXCUSED_UNTIL_MS + 300)
+    asked = asyncio.create_task(
+        stopped.ask(kept, stream(1_500, deadline_ms=3_000))
+    )
+    await stopped.clock.sleep_ms(500)
+    tunnel.close()
+    late = await asked
+    ran = [e for e in worker.executions if e.request_id == late.id]
+    assert late.complete or not ran, "cut off by the stop"
+    assert await stopped.wait_for_exit() < GRACE_MS
