Wait in a stop until callers have received their answers

What callers would see: a caller that sends further bytes on a connection while it still reads an answer loses the rest of the answer once the process has ended.

Cause: the kernel sends on after the end of a process, but it resets a connection without a process as soon as bytes come on it, and the reset discards what is still under way. The stop counted an answer as sent once the kernel had taken it.

Change: a connection is busy until its peer has acknowledged all bytes, as the kernel counts them. The wait ends at the end of the stop at the latest.

Not covered: an answer that closes its connection. The socket is closed once the kernel has the answer, and a caller that still sends requests behind it is reset.

--- a/oleanderbay/connection/aiohttp_internals.py
+++ b/oleanderbay/connection/aiohttp_internals.py
@@ -248,19 +248,25 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request has begun to arrive or an answer is not sent.
+        """Whether a request has begun to arrive or an answer is under way.
 
         A handler returns while up to 64 KB of its answer are in the write
         buffer of the connection, which is lost when the process ends.
         """
         if self.handling_request or self.unsent_bytes > 0:
             return True
+        if self._output.is_closing():
+            return False
+        sock = self._output.get_extra_info("socket")
         # A request that aiohttp has taken from its queue is handled from the
         # next turn of the event loop on; until then, nothing waits for one.
-        return not self._output.is_closing() and (
+        # Bytes that come after a close reset the connection, which discards
+        # the part of an answer that its caller has not received yet.
+        return (
             not self.waiting_for_request
             or self.has_partial_head
-            or sockets.has_input(self._output.get_extra_info("socket"))
+            or sockets.has_input(sock)
+            or sockets.count_unacknowledged(sock) > 0
         )
 
     @property
--- a/oleanderbay/connection/sockets.py
+++ b/oleanderbay/connection/sockets.py
@@ -1,10 +1,13 @@
 """State of sockets that the event loop has not processed yet."""
 
+import array
 import asyncio
+import fcntl
 import os
 import select
 import socket
 import struct
+import termios
 from asyncio import trsock
 from collections.abc import Callable
 
@@ -28,6 +31,13 @@
     return bool(poll.poll(0))
 
 
+def count_unacknowledged(sock: socket.socket | trsock.TransportSocket) -> int:
+    """Returns the number of bytes sent that the peer hasn't acknowledged."""
+    count = array.array("i", [0])
+    fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
+    return count[0]
+
+
 async def connect(host: str, port: int) -> socket.socket:
     """Opens a connection.
 
--- a/tests/connection/test_sockets.py
+++ b/tests/connection/test_sockets.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 
 import pytest
 
@@ -82,3 +83,23 @@
     assert served == 3
     for caller in callers:
         caller.close()
+
+
+# The end of a process that counted such bytes as delivered lost them.
+def test_bytes_are_unacknowledged_until_the_peer_has_them():
+    with contextlib.ExitStack() as stack:
+        listening = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+        peer = stack.enter_context(socket.socket())
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        peer.connect(listening.getsockname())
+        sock = stack.enter_context(listening.accept()[0])
+        assert sockets.count_unacknowledged(sock) == 0
+        sock.sendall(bytes(50_000))
+        assert 0 < sockets.count_unacknowledged(sock) <= 50_000
+        left = 50_000
+        while left:
+            left -= len(peer.recv(left))
+        deadline_s = time.monotonic() + 10
+        while sockets.count_unacknowledged(sock):
+            assert time.monotonic() < deadline_s
+            time.sleep(0.01)
--- a/tests/gateway/test_planned_stops.py
+++ b/tests/gateway/test_planned_stops.py
@@ -210,3 +210,26 @@
     ran = [e for e in worker.executions if e.request_id == late.id]
     assert late.complete or not ran, "cut off by the stop"
     assert await stopped.wait_for_exit() < GRACE_MS
+
+
+# The kernel resets a connection whose process has ended as soon as more bytes
+# come from its caller, and discards the part of an answer that is under way.
+async def test_an_answer_under_way_survives_further_bytes_of_its_caller(
+    stopped,
+):
+    released = asyncio.Event()
+    connection = await stopped.callers.connect(stopped.host, slow=True)
+    stopped.connections.append(connection)
+    connection.reader = LateReader(connection.reader, released)
+    asked = asyncio.create_task(
+        stopped.ask(connection, answer(1_000_000), slow=False)
+    )
+    await parts.wait_until(lambda: stopped.fleet.executions)
+    stopped.terminate()
+    await stopped.sleep_until(EXCUSED_UNTIL_MS + 500)
+    # Empty lines between requests are allowed.
+    connection.writer.write(b"\r\n")
+    await stopped.clock.sleep_ms(300)
+    released.set()
+    assert (await asked).complete
+    assert await stopped.wait_for_exit() < GRACE_MS
