Do not wait twice for callers that read slowly at the end of a stop

What callers would see: a stop that waits for callers that never read ends close to the SIGKILL, or after it where telemetry takes its 300 ms.

Cause: refusals at the end of a stop get 200 ms to reach their callers. Since answers under way count as busy, a caller that reads nothing used these up too.

Change: this last wait looks at requests without an answer only.

The test failed before with 201 ms from the end of the wait to the close of the connections.

--- a/oleanderbay/connection/aiohttp_internals.py
+++ b/oleanderbay/connection/aiohttp_internals.py
@@ -201,6 +201,14 @@
             if isinstance(connection, ServerProtocol)
         )
 
+    def has_request(self) -> bool:
+        """Whether any connection has a request without an answer."""
+        return any(
+            connection.has_request
+            for connection in self.connections
+            if isinstance(connection, ServerProtocol)
+        )
+
     def close_if_idle(self) -> bool:
         """Closes all connections unless one is busy; returns whether it did.
 
@@ -246,27 +254,39 @@
         """Whether a part of a request's head has arrived."""
         raise NotImplementedError
 
+    @property
+    def has_request(self) -> bool:
+        """Whether a request has begun to arrive or is being handled."""
+        # A request that aiohttp has taken from its queue is handled from the
+        # next turn of the event loop on; until then, nothing waits for one.
+        return self.handling_request or (
+            not self._output.is_closing()
+            and (
+                not self.waiting_for_request
+                or self.has_partial_head
+                or sockets.has_input(self._output.get_extra_info("socket"))
+            )
+        )
+
     @property
     def is_busy(self) -> bool:
-        """Whether a request has begun to arrive or an answer is under way.
+        """Whether there is a request, or an answer that is under way.
 
         A handler returns while up to 64 KB of its answer are in the write
-        buffer of the connection, which is lost when the process ends.
+        buffer of the connection, which is lost when the process ends. Bytes
+        that come after a close reset the connection, which discards the part
+        of an answer that its caller has not received yet.
         """
-        if self.handling_request or self.unsent_bytes > 0:
-            return True
-        if self._output.is_closing():
-            return False
-        sock = self._output.get_extra_info("socket")
-        # A request that aiohttp has taken from its queue is handled from the
-        # next turn of the event loop on; until then, nothing waits for one.
-        # Bytes that come after a close reset the connection, which discards
-        # the part of an answer that its caller has not received yet.
         return (
-            not self.waiting_for_request
-            or self.has_partial_head
-            or sockets.has_input(sock)
-            or sockets.count_unacknowledged(sock) > 0
+            self.has_request
+            or self.unsent_bytes > 0
+            or (
+                not self._output.is_closing()
+                and sockets.count_unacknowledged(
+                    self._output.get_extra_info("socket")
+                )
+                > 0
+            )
         )
 
     @property
--- a/oleanderbay/gateway/listener.py
+++ b/oleanderbay/gateway/listener.py
@@ -205,20 +205,25 @@
             await sockets.stop_accepting(
                 self._caller_sockets, self._caller_server
             )
-        if await self._close_when_idle(end_ms):
+        server = self._caller_server
+        if server is None or await self._close_when_idle(server, end_ms):
             return
         self._log_stop("requests left at the end of a stop")
         self.pipeline.stop_waiting()
-        await self._close_when_idle(self.clock.now_ms() + REFUSAL_MS)
+        # Callers that read too slowly are not waited for any longer.
+        end_ms = self.clock.now_ms() + REFUSAL_MS
+        while server.has_request() and self.clock.now_ms() < end_ms:
+            await self.clock.sleep_ms(DRAIN_POLL_MS)
 
-    async def _close_when_idle(self, end_ms: int) -> bool:
+    async def _close_when_idle(
+        self, server: caller_server.CallerServer, end_ms: int
+    ) -> bool:
         """Closes the connections once no request is left.
 
         Returns:
             Whether that was in time.
         """
-        server = self._caller_server
-        while server is not None and not server.close_if_idle():
+        while not server.close_if_idle():
             if self.clock.now_ms() >= end_ms:
                 return False
             await self.clock.sleep_ms(DRAIN_POLL_MS)
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -8,7 +8,7 @@
 import pytest
 from structlog import testing
 
-from oleanderbay.gateway import table
+from oleanderbay.gateway import listener, table
 from oleanderbay.process import clock as clocks
 from oleanderbay.request import outcome
 from tests.gateway import listener_harness, parts
@@ -289,12 +289,18 @@
             await stop
 
 
+# A caller that never read took the time of refusals too, with which the end of
+# the process came close to its kill.
 async def test_a_stop_ends_in_time_although_a_caller_does_not_read():
-    """Guards against a process that must be killed, which loses requests."""
     async with listener_harness.running_listener() as harness:
         caller = await _leave_answer_unsent(harness)
-        async with asyncio.timeout(2):
-            await _stop(harness, limit_ms=300)
+        with testing.capture_logs() as logs:
+            async with asyncio.timeout(2):
+                await _stop(harness, limit_ms=300)
+        after_ms = {line["event"]: line["after_ms"] for line in logs}
+        left_ms = after_ms["requests left at the end of a stop"]
+        assert left_ms >= 300
+        assert after_ms["connections close"] - left_ms < listener.REFUSAL_MS
         await _read_all(caller)
 
 
