Send answers that are in write buffers before an entry stops

What callers would see: an answer of an entry that is complete at its upstream ends without its last bytes around a SIGTERM, if the caller reads slowly. A process with a SIGTERM was not tried; the test looks at the buffers.

Cause: a handler returns while up to 64 KB of its answer are in the write buffer of the connection. The stop waited for handlers, and for connections that are busy only in its first 5 s, then ended the process with what was in the buffers.

Change: the drain goes on while a buffer holds something and its caller takes it; after 30 s without a byte taken, the answer is given up, so that a caller that never reads does not hold up a shutdown without a limit.

Evidence: with an answer of about 48 KB and a caller that does not read, the drain had ended with bytes unsent before (the test failed).

--- a/oleanderbay/process/serving/callers.py
+++ b/oleanderbay/process/serving/callers.py
@@ -24,6 +24,8 @@
 # How long a stop waits for the rest of a head, and how often it looks.
 PARTIAL_HEAD_MS = 5_000
 DRAIN_STEP_MS = 50
+# How long a stop waits for a caller that takes nothing of its answer.
+STALLED_ANSWER_MS = 30_000
 # Time that handlers get to end once all connections are closed.
 SHUTDOWN_LIMIT_S = 1.0
 _PLAIN_PATH = re.compile(r"/s/([^/?]+)(/[^?]*)?(\?.*)?")
@@ -104,11 +106,21 @@
             return
         self.draining = True
         await sockets.stop_accepting(self.sockets, self.server)
-        until_ms = self.clock.now_ms() + PARTIAL_HEAD_MS
-        while not is_over() and (
-            self.in_progress
-            or (self.server.is_busy() and self.clock.now_ms() < until_ms)
-        ):
+        moved_ms = self.clock.now_ms()
+        until_ms = moved_ms + PARTIAL_HEAD_MS
+        unsent_bytes = 0
+        while not is_over():
+            now_ms = self.clock.now_ms()
+            # What is in the write buffers is lost when the process ends.
+            left_bytes = self.server.status()["unsent_bytes"]
+            if self.in_progress or left_bytes != unsent_bytes:
+                unsent_bytes, moved_ms = left_bytes, now_ms
+            if not (
+                self.in_progress
+                or (left_bytes and now_ms - moved_ms < STALLED_ANSWER_MS)
+                or (self.server.is_busy() and now_ms < until_ms)
+            ):
+                return
             await self.clock.sleep_ms(DRAIN_STEP_MS)
 
     async def on_stop(self) -> None:
--- a/tests/process/serving/test_callers.py
+++ b/tests/process/serving/test_callers.py
@@ -12,6 +12,7 @@
 
 from oleanderbay.connection import caller, hops, http
 from oleanderbay.process import clock as clocks
+from oleanderbay.process.serving import callers
 from oleanderbay.request import outcome
 from tests import serving_path
 
@@ -387,3 +388,64 @@
         await path.served.listener.on_stop()
         assert await _read_to_end(reader) == b""
         writer.close()
+
+
+async def _ask_slowly(path):
+    """Sends a request whose answer exceeds all buffers of the kernel."""
+    listener = path.served.listener
+    listener.sockets.sockets[0].setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096
+    )
+    small = socket.socket()
+    small.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    small.connect(("127.0.0.1", listener.port))
+    small.setblocking(False)
+    reader, writer = await asyncio.open_connection(sock=small, limit=1_024)
+    body = json.dumps({**PROMPT, "max_tokens": 8_000}).encode()
+    writer.write(
+        b"POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+        b"Oleanderbay-Fleet: fleet\r\nOleanderbay-Team: team\r\n"
+        b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+    )
+    await path.until(lambda: listener.in_progress)
+    return reader, writer
+
+
+# The end of an answer that its handler had written was lost with the process
+# if its caller read slowly and the stop had lasted for 5 s.
+async def test_a_stop_waits_until_answers_are_sent():
+    async with (
+        serving_path.running() as path,
+        serving_path.engines(path),
+    ):
+        listener = path.served.listener
+        reader, writer = await _ask_slowly(path)
+        stop = asyncio.create_task(listener.drain(lambda: False))
+        await path.until(lambda: not listener.in_progress)
+        assert listener.server.status()["unsent_bytes"] > 0
+        await path.clock.sleep_ms(callers.PARTIAL_HEAD_MS + 1_000)
+        assert not stop.done()
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.partition(b"Content-Length: ")[2].split()[0])
+        async with asyncio.timeout(20):
+            assert len(await reader.readexactly(length)) == length
+            await stop
+        assert listener.server.status()["unsent_bytes"] == 0
+        writer.close()
+
+
+# A caller that never reads its answer must not hold up a stop without a limit.
+async def test_a_stop_gives_up_answers_that_are_not_read():
+    async with (
+        serving_path.running() as path,
+        serving_path.engines(path),
+    ):
+        listener = path.served.listener
+        reader, writer = await _ask_slowly(path)
+        begun_ms = path.clock.now_ms()
+        await listener.drain(lambda: False)
+        spent_ms = path.clock.now_ms() - begun_ms
+        assert listener.server.status()["unsent_bytes"] > 0
+        assert spent_ms >= callers.STALLED_ANSWER_MS
+        assert reader.at_eof() is False
+        writer.close()
