Limit the answers that entries read from engines and services

Cause: the adapters read whole bodies into memory with no limit but the timeout of the call. A server that sends as fast as it can grew an entry by 1,412 MB in a read of the log of 4 s and by 1,361 MB in a call of an engine; the same with a body without a length ended at the 1,500 MB at which the measurement kills the process.

Change: bodies are read in parts and given up above a limit: 150 MB for a page of the log, 64 MiB for the cache of a prefix block, 16 MiB for all others. The outcome of such a call is unknown, as with an answer that was cut off.

Why it works: nothing is read beyond the limit, and the connection is closed, so that what the server still sends stays with it.

--- a/oleanderbay/native/engine_http.py
+++ b/oleanderbay/native/engine_http.py
@@ -1,17 +1,20 @@
 """The control side of model engines over HTTP."""
 
 import dataclasses
+import json
 from collections.abc import AsyncIterator
 from typing import Any
 
 import aiohttp
 
 from oleanderbay.connection import permissions
-from oleanderbay.native import interfaces
+from oleanderbay.native import bodies, interfaces
 
 REPORT_FIELDS = frozenset(
     field.name for field in dataclasses.fields(interfaces.EngineReport)
 )
+# Largest cache of a prefix block.
+MAX_CACHE_BYTES = 67_108_864
 
 
 def report_from(body: Any) -> interfaces.EngineReport:
@@ -109,7 +112,7 @@
         """Returns the KV cache of a prefix block."""
         path = f"/control/cache/{block}"
         async with self._call("GET", path, timeout_ms) as call:
-            return await call.read()
+            return await call.read(max_bytes=MAX_CACHE_BYTES)
 
     async def import_cache(
         self, block: int, data: bytes, timeout_ms: int
@@ -178,16 +181,23 @@
         if self._response is not None:
             self._response.release()
 
-    async def read(self, allowed: tuple[int, ...] = ()) -> bytes:
+    async def read(
+        self, allowed: tuple[int, ...] = (), max_bytes: int | None = None
+    ) -> bytes:
         """Reads the answer to its end.
 
+        Args:
+            allowed: Statuses other than 200 that are no errors.
+            max_bytes: Largest body; `bodies.MAX_BODY_BYTES` by default.
+
         Raises:
             interfaces.PlatformError: The status is not 200 or in `allowed`.
-            interfaces.PlatformUnknownError: The answer was cut off.
+            interfaces.PlatformUnknownError: The answer was cut off or is too
+                large.
         """
         assert self._response is not None
         try:
-            data = await self._response.read()
+            data = await bodies.read(self._response, max_bytes)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise self._lost(error) from error
         if self.status != 200 and self.status not in allowed:
@@ -205,10 +215,9 @@
             interfaces.PlatformError: As `read`.
             interfaces.PlatformUnknownError: The answer is not JSON.
         """
-        await self.read(allowed)
-        assert self._response is not None
+        data = (await self.read(allowed)).strip()
         try:
-            return await self._response.json(content_type=None)
+            return json.loads(data) if data else None
         except ValueError as error:
             raise self._lost(error) from error
 
--- a/oleanderbay/native/instances_http.py
+++ b/oleanderbay/native/instances_http.py
@@ -11,7 +11,7 @@
 
 import aiohttp
 
-from oleanderbay.native import interfaces, log_http
+from oleanderbay.native import bodies, interfaces, log_http
 
 
 class HttpInstanceList:
@@ -64,7 +64,7 @@
                 json=body,
                 timeout=aiohttp.ClientTimeout(total=timeout_ms / 1000),
             ) as response:
-                answer = await response.read()
+                answer = await bodies.read(response)
                 status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise log_http.translate(error, f"{method} {path}") from error
--- a/oleanderbay/native/log_http.py
+++ b/oleanderbay/native/log_http.py
@@ -12,12 +12,15 @@
 import aiohttp
 import msgpack
 
-from oleanderbay.native import interfaces
+from oleanderbay.native import bodies, interfaces
 
 # A server that answers with one of these has not carried out the request.
 # Other 5xx statuses may come from something between the two ends, after the
 # request took effect.
 REFUSED_STATUSES = frozenset((*range(400, 500), 503))
+# A page of 512 records, as many as any reader asks for, takes 131 MB if each
+# is a part of a checkpoint.
+MAX_PAGE_BYTES = 150_000_000
 
 
 class HttpLog:
@@ -44,7 +47,7 @@
                 data=data,
                 timeout=_timeout(timeout_ms),
             ) as response:
-                body = await response.read()
+                body = await bodies.read(response)
                 status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise translate(error, "append") from error
@@ -81,7 +84,7 @@
                 params={"start": start, "limit": limit, "wait_ms": wait_ms},
                 timeout=_timeout(timeout_ms),
             ) as response:
-                body = await response.read()
+                body = await bodies.read(response, MAX_PAGE_BYTES)
                 status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise translate(error, "read") from error
