Close the listener in a stop although no descriptor is free

Cause: stop_accepting duplicates the listening socket to accept what waits. Without a free descriptor that fails, the error leaves the stop, and the end of the event loop cancels all requests.

Change: without a duplicate the socket is closed at once; nothing could have been accepted either.

Evidence: streams of 5 s that were sent 0.5 s before the SIGTERM were cut off before and are whole now; both tests failed before and pass.

--- a/oleanderbay/connection/sockets.py
+++ b/oleanderbay/connection/sockets.py
@@ -90,9 +90,14 @@
         protocol: Creates the protocol of one connection.
     """
     loop = asyncio.get_running_loop()
-    listening = [
-        socket.socket(fileno=os.dup(sock.fileno())) for sock in server.sockets
-    ]
+    try:
+        listening = [
+            socket.socket(fileno=os.dup(sock.fileno()))
+            for sock in server.sockets
+        ]
+    except OSError:
+        # Without a free descriptor no connection can be accepted either.
+        listening = []
     for sock in server.sockets:
         loop.remove_reader(sock)
     for _ in range(ACCEPT_TURNS):
--- a/tests/connection/test_sockets.py
+++ b/tests/connection/test_sockets.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import os
+import resource
 import socket
 import time
 
@@ -103,3 +105,23 @@
         while sockets.count_unacknowledged(sock):
             assert time.monotonic() < deadline_s
             time.sleep(0.01)
+
+
+# A planned stop that fails while it closes its listener ends the process and
+# cuts off the requests in progress.
+async def test_a_listener_closes_without_a_free_descriptor():
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(Echo, "127.0.0.1", 0)
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    taken = []
+    resource.setrlimit(resource.RLIMIT_NOFILE, (256, limits[1]))
+    try:
+        with contextlib.suppress(OSError):
+            while True:
+                taken.append(os.open(os.devnull, os.O_RDONLY))
+        await sockets.stop_accepting(server, Echo)
+    finally:
+        for descriptor in taken:
+            os.close(descriptor)
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+    assert not server.is_serving()
--- a/tests/gateway/test_planned_stops.py
+++ b/tests/gateway/test_planned_stops.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import os
+import resource
 import signal
 import socket
 
@@ -233,3 +235,25 @@
     released.set()
     assert (await asked).complete
     assert await stopped.wait_for_exit() < GRACE_MS
+
+
+# The listener could not be closed without a free descriptor, so that the stop
+# failed and cut off streams that had time to end.
+async def test_a_stop_without_a_free_descriptor_cuts_off_no_request(stopped):
+    kept = [await stopped.connect() for _ in range(2)]
+    asked = [
+        asyncio.create_task(stopped.ask(connection, stream(5_000)))
+        for connection in kept
+    ]
+    await stopped.clock.sleep_ms(500)
+    pid = stopped.fleet.processes.by_name[stopped.host].pid
+    limit = 1 + max(map(int, os.listdir(f"/proc/{pid}/fd")))
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (limit, limit))
+    # Take the descriptors that are free below the limit.
+    for _ in range(20):
+        connection = await stopped.callers.connect(stopped.host, slow=False)
+        stopped.connections.append(connection)
+    stopped.terminate()
+    for sent in asked:
+        assert (await sent).complete
+    assert await stopped.wait_for_exit() < GRACE_MS
