Ignore SIGHUP from the beginning of a gateway's start

What operators would see: a gateway that ends with code -1 when its settings file changes while it starts.

Cause: the handler was set with those of the event loop, after all imports.

Change: the signal is ignored before the imports; the handler did nothing else. Before that, Python itself takes some 20 ms, in which SIGHUP still ends it.

Evidence: the test waits until the process handles or ignores SIGHUP, when it had imported everything before and has imported nothing now, and sends one then.

--- a/oleanderbay/cli/gateway.py
+++ b/oleanderbay/cli/gateway.py
@@ -34,6 +34,9 @@
 
 def run(args: argparse.Namespace) -> int:
     """Serves until a signal and returns the exit code."""
+    # The settings of a running gateway hold nothing that may change. A SIGHUP
+    # that comes during the imports would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from oleanderbay.gateway import settings, telemetry
     from oleanderbay.process import logs
 
@@ -64,8 +67,6 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, stop.set)
-    # The settings of a running gateway hold nothing that may change.
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
     metadata = store.HttpStore(
         config.store.address, config.store.partitions, config.store.timeout_ms
     )
--- a/tests/gateway/test_planned_stops.py
+++ b/tests/gateway/test_planned_stops.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import os
+import pathlib
+import re
 import resource
 import signal
 import socket
@@ -257,3 +259,28 @@
     for sent in asked:
         assert (await sent).complete
     assert await stopped.wait_for_exit() < GRACE_MS
+
+
+def ignores_sighup(pid):
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    masks = re.findall(r"^Sig(?:Ign|Cgt):\t(\w+)$", status, re.MULTILINE)
+    return any(int(mask, 16) >> signal.SIGHUP - 1 & 1 for mask in masks)
+
+
+def has_imported(pid, extension):
+    return extension in pathlib.Path(f"/proc/{pid}/maps").read_text()
+
+
+# The settings file may change while a process starts; a SIGHUP that came before
+# all modules were imported ended it.
+async def test_a_sighup_during_the_start_does_not_end_the_process(stopped):
+    processes = stopped.fleet.processes
+    await processes.kill(stopped.host)
+    await stopped.fleet.start_gateway(stopped.host)
+    pid = processes.by_name[stopped.host].pid
+    async with asyncio.timeout(10):
+        while not ignores_sighup(pid):
+            await stopped.clock.sleep_ms(1)
+    assert not has_imported(pid, "_http_parser")
+    processes.send_signal(stopped.host, signal.SIGHUP)
+    await stopped.fleet.wait_ready(stopped.host)
