Accept few connections in a turn of the event loop

What callers would see: a gateway without a free descriptor hardly serves the requests that it has, and its stop ends late: 7.5 s after the SIGTERM, and once at 8.3 s, although its last stream had ended at 4.5 s.

Cause: asyncio uses the backlog, 1,024, also as the number of attempts to accept in a turn. Without a descriptor it logs each failed attempt and repeats each one after a second; 16,381 lines in 3 s, and 5,600 errors once the listener was closed.

--- a/oleanderbay/connection/sockets.py
+++ b/oleanderbay/connection/sockets.py
@@ -77,6 +77,18 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, 1_000 * lost_s)
 
 
+def set_backlog(server: asyncio.Server, count: int) -> None:
+    """Sets how many connections may wait for a server.
+
+    asyncio takes one number for this and for the attempts to accept in a turn
+    of the event loop. Without a free descriptor all of these fail, and it logs
+    and repeats each of them.
+    """
+    for sock in server.sockets:
+        with socket.socket(fileno=os.dup(sock.fileno())) as listening:
+            listening.listen(count)
+
+
 async def stop_accepting(
     server: asyncio.Server, protocol: Callable[[], asyncio.BaseProtocol]
 ) -> None:
--- a/tests/connection/test_sockets.py
+++ b/tests/connection/test_sockets.py
@@ -125,3 +125,20 @@
             os.close(descriptor)
         resource.setrlimit(resource.RLIMIT_NOFILE, limits)
     assert not server.is_serving()
+
+
+# With one number for both, a server without a free descriptor spent its time on
+# failed attempts to accept, while its requests and its stop waited.
+async def test_more_connections_wait_than_are_accepted_in_a_turn():
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(Echo, "127.0.0.1", 0, backlog=1)
+    sockets.set_backlog(server, 64)
+    address = server.sockets[0].getsockname()
+    callers = [socket.create_connection(address, timeout=1) for _ in range(40)]
+    for caller in callers:
+        caller.sendall(b"x")
+        caller.setblocking(False)
+        async with asyncio.timeout(20):
+            assert await loop.sock_recv(caller, 1) == b"x"
+        caller.close()
+    server.close()
