Reserve at most a sixth of a grace period for the end of a stop

The users' sites state 8 s, for which nothing changes.

Cause: 600 ms were reserved whatever the grace period was.

Change: at most a sixth is reserved.

Evidence: the table fails with the fixed 600 ms for 600 and 2,000 ms.

--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -36,6 +36,7 @@
     selection,
     shared_reads,
     state,
+    stopping,
     summaries,
     tunnels,
     worker_client,
@@ -48,9 +49,6 @@
 
 # Time that connections get to close at the end of a stop.
 CLOSE_LIMIT_MS = 50
-# Part of the grace period that is reserved for closing connections and flushing
-# telemetry after the wait for requests in progress.
-STOP_MARGIN_MS = 600
 RETRY_DELAY_MS = 500
 # Interval between reads of the gateways' addresses, which find gateways that
 # were added while heartbeats did not reach this one.
@@ -426,7 +424,7 @@
         """
         stop = self.config.stop
         started_ms = self.clock.now_ms()
-        end_ms = started_ms + stop.grace_ms - STOP_MARGIN_MS
+        end_ms = started_ms + stopping.request_time_ms(stop.grace_ms)
         self.leaving = True
         cached_ms = stop.directory_ttl_ms * stop.kept_factor
         self.listeners.leave(end_ms, started_ms + cached_ms)
--- a/oleanderbay/gateway/stopping.py
+++ b/oleanderbay/gateway/stopping.py
@@ -9,6 +9,16 @@
 # Last part of a planned stop, in which requests are refused that may need more
 # time than is left. Most requests end within this part.
 LATE_SHARE = 2 / 3
+# Part of the grace period that is reserved for closing connections and flushing
+# telemetry after the wait for requests in progress, and its largest share: only
+# in the last sixth of the grace period may a stop end requests.
+MARGIN_MS = 600
+MAX_MARGIN_SHARE = 1 / 6
+
+
+def request_time_ms(grace_ms: int) -> int:
+    """Returns how long requests may take from the signal of a stop on."""
+    return grace_ms - min(MARGIN_MS, int(MAX_MARGIN_SHARE * grace_ms))
 
 
 class StopLimit:
--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -137,6 +137,24 @@
     assert asked.is_set()
 
 
+# Incident of 2026-12-05: a stop accepted requests of any length long after
+# callers' directory answers had expired.
+async def test_long_requests_come_too_late_once_directory_answers_expired(site):
+    gateway = site.gateways[1]
+    stop_settings, clock = gateway.config.stop, gateway.clock
+    expired_ms = stop_settings.directory_ttl_ms * stop_settings.kept_factor
+    limit = gateway.listeners.pipeline.stop_limit
+    begun_ms = clock.now_ms()
+    stop = asyncio.create_task(gateway.stop_gracefully())
+    await parts.wait_until(lambda: gateway.leaving)
+    end_ms = begun_ms + stop_settings.grace_ms
+    assert not limit.comes_too_late(end_ms)
+    await clock.sleep_ms(begun_ms + expired_ms + 20 - clock.now_ms())
+    assert limit.comes_too_late(end_ms)
+    assert not limit.comes_too_late(clock.now_ms() + 1_000)
+    await stop
+
+
 # Incident inc1: gateways sent what had crashed workers before other gateways,
 # which includes what these knew before all of them were restarted.
 async def test_a_part_that_crashes_workers_is_refused_by_all_gateways(site):
--- a/tests/gateway/test_planned_stops.py
+++ b/tests/gateway/test_planned_stops.py
@@ -159,6 +159,24 @@
     assert await stopped.wait_for_exit() < GRACE_MS
 
 
+async def test_requests_that_end_in_time_are_served_throughout_a_stop(stopped):
+    """Guards against refusals of what a stop has time for."""
+    kept, busy = [await stopped.connect() for _ in range(2)]
+    stopped.terminate()
+    long = asyncio.create_task(stopped.ask(busy, stream(LONG_MS)))
+    await stopped.sleep_until(EXCUSED_UNTIL_MS - 500)
+    # Callers may still have a directory answer that names the gateway.
+    new = await stopped.callers.connect(stopped.host, slow=False)
+    stopped.connections.append(new)
+    short = stream(500, deadline_ms=2_000)
+    assert (await stopped.ask(new, short)).status == 200
+    await stopped.sleep_until(EXCUSED_UNTIL_MS + 1_000)
+    assert (await stopped.ask(kept, short)).status == 200
+    sent = await long
+    assert sent.complete and sent.status == 200
+    assert await stopped.wait_for_exit() < GRACE_MS
+
+
 # An answer was in the write buffer of its connection when the process ended,
 # and its caller, which read slowly, got only a part of it.
 async def test_an_answer_that_is_read_slowly_is_not_cut_off(stopped):
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -60,3 +60,12 @@
     clock.set_ms(3_000)
     assert limit.comes_too_late(60_001)
     assert not limit.comes_too_late(60_000)
+
+
+# Guards against stops that end requests before the last sixth of the grace
+# period, or that leave no time to close connections.
+@pytest.mark.parametrize("grace_ms", [0, 600, 2_000, 3_600, 8_000, 60_000])
+def test_requests_may_take_all_but_the_end_of_the_grace_period(grace_ms):
+    request_ms = stopping.request_time_ms(grace_ms)
+    assert 5 * grace_ms <= 6 * request_ms <= 6 * grace_ms
+    assert grace_ms - request_ms >= min(600, grace_ms // 6)
