End the process of a gateway without freeing its modules

No request was lost by it.

Cause: connections close at 7.4 s; the interpreter then frees all modules, which took 110 ms of an idle core and several times that on a busy one.

Change: after a stop, the process exits at once.

--- a/oleanderbay/cli/gateway.py
+++ b/oleanderbay/cli/gateway.py
@@ -53,10 +53,15 @@
     _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
     try:
-        return asyncio.run(_serve(config))
+        code = asyncio.run(_serve(config))
     except telemetry.TelemetryError as error:
         print(f"{args.settings}: {error}", file=sys.stderr)
         return codes.EXIT_USAGE
+    # Everything is closed. To free all modules, the interpreter may take longer
+    # than what is left of the grace period.
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
 
 
 async def _serve(config: Any) -> int:
