End the read of a whole answer in the time that it was given

What callers would see: a request that goes on beyond its deadline, for as long as a worker sends a byte of a body from time to time.

Cause: read_all counted its time anew for each part of a body, and kept each part as an object of its own.

Change: the time holds for the whole body, and the parts go into one buffer.

Evidence: test_slow_body_ends_in_time failed before.

--- a/oleanderbay/gateway/worker_client.py
+++ b/oleanderbay/gateway/worker_client.py
@@ -216,16 +216,23 @@
     async def read_all(self, limit_ms: int, max_bytes: int) -> bytes:
         """Returns the complete body.
 
+        Args:
+            limit_ms: Time for all of it.
+            max_bytes: Largest body that is accepted.
+
         Raises:
-            AttemptError: The body was cut off, stalled or is too large.
+            AttemptError: The body was cut off, took too long or is too large.
         """
-        parts, size = [], 0
-        while part := await self.read(limit_ms):
-            size += len(part)
-            if size > max_bytes:
-                raise AttemptError("the answer is too large", True)
-            parts.append(part)
-        return b"".join(parts)
+        body = bytearray()
+        try:
+            async with asyncio.timeout(limit_ms / 1000):
+                while part := await self.read(limit_ms):
+                    body += part
+                    if len(body) > max_bytes:
+                        raise AttemptError("the answer is too large", True)
+        except TimeoutError as error:
+            raise AttemptError("the answer stalls", True, True) from error
+        return bytes(body)
 
     def close(self, keep: bool = False) -> None:
         """Closes the connection, which cancels the request at the worker.
--- a/tests/gateway/test_worker_client.py
+++ b/tests/gateway/test_worker_client.py
@@ -225,6 +225,32 @@
         await parts.wait_until(closed.is_set)
 
 
+# An attempt lasted for as long as single bytes kept coming, since the time was
+# counted anew for each of them: 31 s in place of 6 s.
+async def test_slow_body_ends_in_time():
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(OK + b"Content-Length: 100\r\n\r\n")
+        with contextlib.suppress(OSError):
+            for _ in range(100):
+                writer.write(b"a")
+                await writer.drain()
+                await asyncio.sleep(0.02)
+        writer.close()
+
+    request = interfaces.CallerRequest(
+        id="c", method="GET", host="api", target="/", headers=HEADERS
+    )
+    async with running_worker(serve) as (client, worker):
+        response = await client.send_request(
+            worker, request, HEADERS.copy(), 1_000
+        )
+        with pytest.raises(worker_client.AttemptError) as failed:
+            await response.read_all(200, 1_000)
+        response.close()
+        assert failed.value.timed_out
+
+
 async def test_answer_in_small_chunks_is_not_limited():
     """Streams may send each event in a chunk of its own."""
     events = 20_000
