Parse events in time that grows with their bytes only

What callers would see: all requests of a gateway stand still while a faulty worker sends a large event byte by byte, or many empty events at once.

Cause: the parser copied the rest of its buffer for each event, and searched it from the start for each piece of data.

Change: it remembers how far it has searched, and drops parsed bytes once a piece.

--- a/oleanderbay/gateway/event_stream.py
+++ b/oleanderbay/gateway/event_stream.py
@@ -42,7 +42,9 @@
         self.last_id = last_id
         self.max_bytes = max_bytes
         self.has_unnumbered_events = False
-        self._buffer = b""
+        self._buffer = bytearray()
+        # Number of its bytes that hold no end of an event.
+        self._searched = 0
         # A stream that does not resume another one may start with any id.
         self._resumes = last_id >= 0
         self._started = False
@@ -60,13 +62,15 @@
         """
         self._buffer += data
         completed: list[Event] = []
-        while True:
-            end = self._buffer.find(EVENT_END)
-            if end < 0:
-                break
-            event_data = self._buffer[: end + len(EVENT_END)]
-            self._buffer = self._buffer[end + len(EVENT_END) :]
-            completed.append(self._parse(event_data))
+        # No byte is searched or moved twice, since a faulty worker may send
+        # many small events at once, or an event byte by byte.
+        start, searched = 0, self._searched
+        while (found := self._buffer.find(EVENT_END, searched)) >= 0:
+            end = found + len(EVENT_END)
+            completed.append(self._parse(bytes(self._buffer[start:end])))
+            start = searched = end
+        del self._buffer[:start]
+        self._searched = max(0, len(self._buffer) - len(EVENT_END) + 1)
         if len(self._buffer) > self.max_bytes:
             raise EventStreamError("an event is too large")
         return completed
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -1,6 +1,7 @@
 """Tests of the event stream parser."""
 
 import itertools
+import time
 
 import pytest
 from hypothesis import given, settings
@@ -61,3 +62,23 @@
     """An event without an end would exhaust the gateway's memory."""
     with pytest.raises(event_stream.EventStreamError):
         parse(b"data: " + b"x" * 100)
+
+
+# A faulty worker took the gateway's processor for a minute with an event that
+# came byte by byte, and blocked it for a second with many empty events.
+@pytest.mark.parametrize(
+    "split",
+    [lambda size: [b"a"] * size, lambda size: [b"\n\n" * (size // 2)]],
+    ids=["one-event-in-bytes", "many-events-at-once"],
+)
+def test_the_work_grows_with_the_number_of_bytes_only(split):
+    # Work that grows with the square of the size takes 16 times as long.
+    small, large = (parse_time(split(size)) for size in (131_072, 524_288))
+    assert large < 8 * small + 0.2
+
+
+def parse_time(chunks):
+    """Returns the processor time that chunks take."""
+    begun = time.process_time()
+    parse(*chunks, max_bytes=1 << 20)
+    return time.process_time() - begun
