Split the rig of planned stops into fleet, judge and program

What nothing reads goes: whether a connection was used before, and the count of refused connections.

--- a/bench/harness.py
+++ b/bench/harness.py
@@ -33,6 +33,8 @@
         "processes",
         "report",
         "stop_callers",
+        "stop_fleet",
+        "stop_judge",
     )
 )
 
--- a/bench/stop_callers.py
+++ b/bench/stop_callers.py
@@ -37,6 +37,22 @@
     body: bytes = b"prompt"
 
 
+def _stream(events: int, gap_ms: int, deadline_ms: int) -> Kind:
+    return Kind(
+        name=f"stream of {events * gap_ms} ms",
+        path=f"/stream/x?events={events}&gap_ms={gap_ms}&bytes=150",
+        deadline_ms=deadline_ms,
+    )
+
+
+KINDS = (
+    _stream(12, 100, 10_000),
+    _stream(36, 100, 10_000),
+    _stream(33, 200, 10_000),
+    Kind(name="post", path="/post/x?gap_ms=60&bytes=800", deadline_ms=2_500),
+)
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Sent:
     """One request and what its caller saw of it; times are monotonic.
@@ -44,7 +60,6 @@
     Attributes:
         gateway: Host of the gateway.
         start: Number of the start of that gateway that got the request.
-        reused: Whether its connection had carried a request before.
         ended_ms: When the answer was complete or the connection ended.
         status: HTTP status; 0 if there is no head.
         complete: Whether the answer is complete.
@@ -54,7 +69,6 @@
     kind: Kind
     gateway: str
     start: int
-    reused: bool
     slow: bool
     sent_ms: int
     ended_ms: int = 0
@@ -72,7 +86,6 @@
 
     Attributes:
         start: Number of the gateway's start that it leads to.
-        used: Whether it has carried a request.
         closing: Whether the gateway closes it after its last answer.
     """
 
@@ -80,12 +93,11 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        start: int = 1,
+        start: int,
     ) -> None:
         self.reader = reader
         self.writer = writer
         self.start = start
-        self.used = False
         self.closing = False
 
     @property
@@ -108,7 +120,6 @@
             f"{names.DEADLINE}: {kind.deadline_ms}\r\n"
             f"Content-Length: {len(kind.body)}\r\n\r\n"
         )
-        self.used = True
         try:
             self.writer.write(head.encode() + kind.body)
             await self.writer.drain()
@@ -158,7 +169,6 @@
         directory: Returns the hosts that the directory names now.
         start_of: Returns the number of the newest start of a gateway.
         sent: All requests.
-        unreached: Connections that were refused or not established.
     """
 
     def __init__(
@@ -181,7 +191,6 @@
         self.seed = seed
         self.clock = clock
         self.sent: list[Sent] = []
-        self.unreached = 0
         self._ids = itertools.count()
         self._ending = False
         self._tasks: list[asyncio.Task[None]] = []
@@ -244,7 +253,6 @@
             )
         except (TimeoutError, OSError):
             sock.close()
-            self.unreached += 1
             return None
         return Connection(*streams, self.start_of(host))
 
@@ -258,7 +266,6 @@
             kind=kind,
             gateway=host,
             start=connection.start,
-            reused=connection.used,
             slow=slow,
             sent_ms=now_ms,
         )
--- a/tests/bench/test_planned_stops.py
+++ b/tests/bench/test_planned_stops.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from bench import planned_stops, stop_callers
+from bench import planned_stops, stop_callers, stop_fleet, stop_judge
 
-KIND = planned_stops.KINDS[0]
+KIND = stop_callers.KINDS[0]
 GRACE_MS = 8_000
 TERM_MS = 100_000
 
@@ -18,7 +18,6 @@
             "kind": KIND,
             "gateway": "g",
             "start": 1,
-            "reused": True,
             "slow": False,
             "sent_ms": TERM_MS + sent_ms,
             "ended_ms": TERM_MS + ended_ms,
@@ -37,7 +36,7 @@
         stop_start: Start of the gateway that was stopped.
         killed: Whether its process had to be killed.
     """
-    stop = planned_stops.Stop(
+    stop = stop_fleet.Stop(
         gateway="g",
         start=stop_start,
         term_ms=TERM_MS,
@@ -48,17 +47,15 @@
     if work is not None:
         ended_ms, complete = work
         executions["q"] = [
-            planned_stops.Execution(
-                ended_ms=TERM_MS + ended_ms, complete=complete
-            )
+            stop_fleet.Execution(ended_ms=TERM_MS + ended_ms, complete=complete)
         ]
     fleet = types.SimpleNamespace(
         stops=[stop],
         executions=executions,
         began=lambda: set(executions),
-        options=planned_stops.Options(grace_ms=GRACE_MS),
+        options=stop_fleet.Options(grace_ms=GRACE_MS),
     )
-    return planned_stops.Judge(fleet).report([sent])
+    return stop_judge.Judge(fleet).report([sent])
 
 
 # Guards against a judge that excuses requests that a stop must not lose.
@@ -136,7 +133,7 @@
 # processes, which tests within one process did not show.
 async def test_no_request_is_lost_while_gateways_stop_under_load():
     report, logs = await planned_stops.run(
-        planned_stops.Options(
+        stop_fleet.Options(
             seed=11, callers=40, stops=2, together=2, changes=True
         )
     )
--- a/tests/gateway/test_planned_stops.py
+++ b/tests/gateway/test_planned_stops.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from bench import planned_stops, stop_callers
+from bench import stop_callers, stop_fleet
 from oleanderbay.gateway import tunnels, workers
 from oleanderbay.process import clock as clocks
 from tests.gateway import parts
@@ -80,8 +80,8 @@
 
     def __init__(self, gateways):
         self.clock = clocks.SystemClock()
-        self.fleet = planned_stops.Fleet(
-            planned_stops.Options(
+        self.fleet = stop_fleet.Fleet(
+            stop_fleet.Options(
                 gateways=gateways,
                 workers=1,
                 callers=0,
