Test what the judge of planned stops makes of running requests

A request that still runs when its connection ends is no longer taken for one that was not passed on; it is the second half of the new case. The description of a lost request and the checks of an answer are flattened.

--- a/bench/stop_judge.py
+++ b/bench/stop_judge.py
@@ -91,10 +91,11 @@
             return "expired"
         if stop is None or request.ended_ms < stop.term_ms:
             return "lost"
-        if not ran:
+        if request.id not in self.began:
             return "crossed" if waited_ms <= LOSS_SLACK_MS else "lost"
         last_ms = stop.term_ms + (1 - LAST_PART) * self.fleet.options.grace_ms
-        at_work = min(ran[-1].ended_ms, request.ended_ms) >= last_ms
+        worked_until_ms = ran[-1].ended_ms if ran else request.ended_ms
+        at_work = min(worked_until_ms, request.ended_ms) >= last_ms
         if at_work and request.sent_ms <= stop.term_ms + EXCUSED_UNTIL_MS:
             return "cut"
         return "lost"
@@ -104,43 +105,45 @@
         broken = []
         if len(ran) > 1:
             broken.append(f"{request.id} ran {len(ran)} times")
-        if request.complete and request.status not in (200, 503, 504):
+        if not request.complete:
+            return broken
+        if request.status not in (200, 503, 504):
             broken.append(f"{request.id} was answered with {request.status}")
-        if (
-            request.complete
-            and request.status == 503
-            and request.id in self.began
-        ):
+        elif request.status == 503 and request.id in self.began:
             broken.append(f"{request.id} was refused as not run and has run")
-        if request.complete and request.status == 200:
-            if not ran or not ran[-1].complete:
-                broken.append(f"{request.id} has an answer that is not whole")
-            elif "stream" in request.kind.name and not _is_whole(request):
-                broken.append(f"{request.id} lacks events")
+        elif request.status == 200 and not (ran and ran[-1].complete):
+            broken.append(f"{request.id} has an answer that is not whole")
+        elif request.status == 200 and not _has_all_events(request):
+            broken.append(f"{request.id} lacks events")
         return broken
 
     def _describe(self, request: stop_callers.Sent) -> str:
         stop = self.stops.get((request.gateway, request.start))
-        since = stop.term_ms if stop is not None else request.sent_ms
-        ran = self.fleet.executions.get(request.id)
-        work = (
-            f"worker ended at {ran[-1].ended_ms - since} ms"
-            f" ({'whole' if ran[-1].complete else 'cut'})"
-            if ran
-            else "not passed on"
+        since_ms = stop.term_ms if stop is not None else request.sent_ms
+        work = "not passed on"
+        for execution in self.fleet.executions.get(request.id, ()):
+            work = (
+                f"worker ended at {execution.ended_ms - since_ms} ms"
+                f" ({'whole' if execution.complete else 'cut'})"
+            )
+        process = (
+            f"process ended at {stop.ended_ms - since_ms} ms"
+            if stop is not None
+            else "no stop"
         )
         return (
             f"{request.id} ({request.kind.name}"
-            f"{', slow' if request.slow else ''}) at {request.gateway}"
-            f"{'' if stop is not None else ' without a stop'}: sent at"
-            f" {request.sent_ms - since} ms, ended at"
-            f" {request.ended_ms - since} ms, status {request.status}, {work}"
-            f"{', process ended at ' if stop else ''}"
-            f"{f'{stop.ended_ms - since} ms' if stop else ''}"
+            f"{', slow' if request.slow else ''}) at {request.gateway}:"
+            f" sent at {request.sent_ms - since_ms} ms,"
+            f" ended at {request.ended_ms - since_ms} ms,"
+            f" status {request.status}, {work}, {process}"
         )
 
 
-def _is_whole(request: stop_callers.Sent) -> bool:
+def _has_all_events(request: stop_callers.Sent) -> bool:
+    """Whether an answer has each event once; other answers have none."""
+    if not request.kind.path.startswith("/stream"):
+        return True
     events = request.kind.path.partition("events=")[2].partition("&")[0]
     ids = [
         int(line[4:])
--- a/tests/bench/test_planned_stops.py
+++ b/tests/bench/test_planned_stops.py
@@ -26,7 +26,7 @@
     )
 
 
-def judge(sent, work=None, stop_start=1, killed=False):
+def judge(sent, work=None, stop_start=1, killed=False, running=()):
     """Judges one request.
 
     Args:
@@ -35,6 +35,7 @@
             was complete; None if the request did not run.
         stop_start: Start of the gateway that was stopped.
         killed: Whether its process had to be killed.
+        running: Ids of requests that still run.
     """
     stop = stop_fleet.Stop(
         gateway="g",
@@ -52,7 +53,7 @@
     fleet = types.SimpleNamespace(
         stops=[stop],
         executions=executions,
-        began=lambda: set(executions),
+        began=lambda: {*executions, *running},
         options=stop_fleet.Options(grace_ms=GRACE_MS),
     )
     return stop_judge.Judge(fleet).report([sent])
@@ -122,6 +123,20 @@
     assert judge(whole, work).broken
 
 
+# Guards against a judge that looks only at executions that have ended.
+def test_a_request_that_still_runs_was_neither_refused_nor_crossed():
+    refused = request(2_000, 2_050, status=503, complete=True)
+    assert judge(refused, running=["q"]).broken
+    dropped = request(2_000, 2_050)
+    assert judge(dropped, running=["q"]).lost
+
+
+# Guards against runs that pass because nothing was served.
+def test_a_run_without_an_answer_does_not_hold():
+    refused = judge(request(0, 50, status=503, complete=True))
+    assert not refused.lost and not refused.broken and not refused.holds
+
+
 def test_a_killed_process_breaks_the_promise():
     whole = b"".join(b"id: %d\n" % number for number in range(12))
     sent = request(0, 500, status=200, body=whole, complete=True)
