Read limited bodies of answers in one place

The adapters of entries got a function that the client for orders had already. It is in connection now and both use it; the limits stay where they were stated.

--- a/oleanderbay/native/engine_http.py
+++ b/oleanderbay/native/engine_http.py
@@ -7,8 +7,8 @@
 
 import aiohttp
 
-from oleanderbay.connection import permissions
-from oleanderbay.native import bodies, interfaces
+from oleanderbay.connection import bodies, permissions
+from oleanderbay.native import interfaces
 
 REPORT_FIELDS = frozenset(
     field.name for field in dataclasses.fields(interfaces.EngineReport)
@@ -188,7 +188,7 @@
 
         Args:
             allowed: Statuses other than 200 that are no errors.
-            max_bytes: Largest body; `bodies.MAX_BODY_BYTES` by default.
+            max_bytes: Largest body; `interfaces.MAX_BODY_BYTES` by default.
 
         Raises:
             interfaces.PlatformError: The status is not 200 or in `allowed`.
@@ -196,6 +196,8 @@
                 large.
         """
         assert self._response is not None
+        if max_bytes is None:
+            max_bytes = interfaces.MAX_BODY_BYTES
         try:
             data = await bodies.read(self._response, max_bytes)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/oleanderbay/native/instances_http.py
+++ b/oleanderbay/native/instances_http.py
@@ -11,7 +11,8 @@
 
 import aiohttp
 
-from oleanderbay.native import bodies, interfaces, log_http
+from oleanderbay.connection import bodies
+from oleanderbay.native import interfaces, log_http
 
 
 class HttpInstanceList:
@@ -64,7 +65,7 @@
                 json=body,
                 timeout=aiohttp.ClientTimeout(total=timeout_ms / 1000),
             ) as response:
-                answer = await bodies.read(response)
+                answer = await bodies.read(response, interfaces.MAX_BODY_BYTES)
                 status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise log_http.translate(error, f"{method} {path}") from error
--- a/oleanderbay/native/interfaces.py
+++ b/oleanderbay/native/interfaces.py
@@ -5,6 +5,10 @@
 from collections.abc import AsyncIterator, Sequence
 from typing import Protocol
 
+# A list of 12,000 instances takes about 3 MB; other bodies are smaller, except
+# those that have a limit of their own.
+MAX_BODY_BYTES = 16_777_216
+
 
 class PlatformError(Exception):
     """A fault at the platform's side."""
--- a/oleanderbay/native/log_http.py
+++ b/oleanderbay/native/log_http.py
@@ -12,7 +12,8 @@
 import aiohttp
 import msgpack
 
-from oleanderbay.native import bodies, interfaces
+from oleanderbay.connection import bodies
+from oleanderbay.native import interfaces
 
 # A server that answers with one of these has not carried out the request.
 # Other 5xx statuses may come from something between the two ends, after the
@@ -47,7 +48,7 @@
                 data=data,
                 timeout=_timeout(timeout_ms),
             ) as response:
-                body = await bodies.read(response)
+                body = await bodies.read(response, interfaces.MAX_BODY_BYTES)
                 status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise translate(error, "append") from error
--- a/oleanderbay/platform/orders.py
+++ b/oleanderbay/platform/orders.py
@@ -8,7 +8,12 @@
 
 import aiohttp
 
-from oleanderbay.connection import aiohttp_internals, permissions, sockets
+from oleanderbay.connection import (
+    aiohttp_internals,
+    bodies,
+    permissions,
+    sockets,
+)
 from oleanderbay.gateway import interfaces, workers
 from oleanderbay.platform import names, records
 
@@ -146,7 +151,7 @@
                 headers={names.EXPECTED_WORKER: worker.id},
                 timeout=self._timeout(timeout_ms),
             ) as response:
-                body = await _read(response)
+                body = await bodies.read(response, MAX_BODY_BYTES)
                 if response.status != 200:
                     return RESULT_BY_STATUS.get(
                         response.status, interfaces.OrderResult.UNKNOWN
@@ -178,7 +183,7 @@
                 },
                 timeout=self._timeout(self.timeout_ms),
             ) as response:
-                await _read(response)
+                await bodies.read(response, MAX_BODY_BYTES)
                 return RESULT_BY_STATUS.get(
                     response.status, interfaces.OrderResult.UNKNOWN
                 )
@@ -191,18 +196,3 @@
 
     def _timeout(self, total_ms: int) -> aiohttp.ClientTimeout:
         return aiohttp.ClientTimeout(total=total_ms / 1000)
-
-
-async def _read(response: aiohttp.ClientResponse) -> bytes:
-    """Returns the body of a response.
-
-    Raises:
-        aiohttp.ClientPayloadError: The body is too large or was cut off.
-    """
-    body = bytearray()
-    while part := await response.content.readany():
-        body += part
-        if len(body) > MAX_BODY_BYTES:
-            response.close()
-            raise aiohttp.ClientPayloadError("the body is too large")
-    return bytes(body)
--- a/tests/native/test_bodies.py
+++ b/tests/native/test_bodies.py
@@ -4,7 +4,6 @@
 import pytest
 
 from oleanderbay.native import (
-    bodies,
     engine_http,
     instances_http,
     interfaces,
@@ -59,7 +58,7 @@
     [append, read, list_instances, order, export_cache, weight_store_state],
 )
 async def test_endless_body_is_given_up(monkeypatch, call):
-    monkeypatch.setattr(bodies, "MAX_BODY_BYTES", 100_000)
+    monkeypatch.setattr(interfaces, "MAX_BODY_BYTES", 100_000)
     monkeypatch.setattr(engine_http, "MAX_CACHE_BYTES", 100_000)
     monkeypatch.setattr(log_http, "MAX_PAGE_BYTES", 100_000)
     async with (
