Open all listening sockets with few accepts in a turn

The mend of accepts without a free descriptor stood at the callers' listener of gateways alone. The readiness and directory listeners and the callers' listener of entries still gave asyncio a backlog of 1,024, and so its attempts to accept. sockets.create_server holds both numbers now, and all three use it. How many connections may wait stays as it is. Without a descriptor, the two other listeners were not tried.

--- a/oleanderbay/connection/sockets.py
+++ b/oleanderbay/connection/sockets.py
@@ -15,6 +15,8 @@
 
 # Turns of the event loop that asyncio takes to accept a connection.
 ACCEPT_TURNS = 3
+# Connections that are accepted in one turn of the event loop.
+ACCEPTED_PER_TURN = 16
 # Value of SO_LINGER that makes close() discard unsent data and send a reset.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # A peer that is gone is noticed after the idle time and all probes. Its
@@ -77,16 +79,31 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, 1_000 * lost_s)
 
 
-def set_backlog(server: asyncio.Server, count: int) -> None:
-    """Sets how many connections may wait for a server.
+async def create_server(
+    protocol: Callable[[], asyncio.BaseProtocol],
+    host: str,
+    port: int,
+    backlog: int,
+) -> asyncio.Server:
+    """Opens a listening socket.
 
-    asyncio takes one number for this and for the attempts to accept in a turn
-    of the event loop. Without a free descriptor all of these fail, and it logs
-    and repeats each of them.
+    asyncio takes one number for the connections that may wait and for the
+    attempts to accept in a turn of the event loop. Without a free descriptor
+    all of these fail, and it logs and repeats each of them.
+
+    Args:
+        protocol: Creates the protocol of one connection.
+        host: Host to listen on.
+        port: Port to listen on; 0 takes a free one.
+        backlog: Number of connections that may wait.
     """
+    server = await asyncio.get_running_loop().create_server(
+        protocol, host, port, backlog=ACCEPTED_PER_TURN
+    )
     for sock in server.sockets:
-        with socket.socket(fileno=os.dup(sock.fileno())) as listening:
-            listening.listen(count)
+        with _duplicate(sock) as listening:
+            listening.listen(backlog)
+    return server
 
 
 async def stop_accepting(
@@ -103,10 +120,7 @@
     """
     loop = asyncio.get_running_loop()
     try:
-        listening = [
-            socket.socket(fileno=os.dup(sock.fileno()))
-            for sock in server.sockets
-        ]
+        listening = [_duplicate(sock) for sock in server.sockets]
     except OSError:
         # Without a free descriptor no connection can be accepted either.
         listening = []
@@ -127,6 +141,12 @@
         await loop.connect_accepted_socket(protocol, connection)
 
 
+def _duplicate(
+    sock: socket.socket | trsock.TransportSocket,
+) -> socket.socket:
+    return socket.socket(fileno=os.dup(sock.fileno()))
+
+
 def _accept(sock: socket.socket) -> list[socket.socket]:
     """Accepts the connections that wait for a listening socket."""
     accepted: list[socket.socket] = []
--- a/oleanderbay/gateway/listener.py
+++ b/oleanderbay/gateway/listener.py
@@ -28,8 +28,6 @@
 # Keep-alive timeout of connections to the directory and readiness listeners.
 KEEPALIVE_S = 600
 BACKLOG = 1_024
-# Connections that are accepted in one turn of the event loop.
-ACCEPTED_PER_TURN = 16
 DRAIN_POLL_MS = 50
 # Time in which refusals at the end of a planned stop reach their callers.
 REFUSAL_MS = 200
@@ -170,18 +168,17 @@
             access_log=None,
             keepalive_timeout=KEEPALIVE_S,
         )
-        self._caller_sockets = await loop.create_server(
+        self._caller_sockets = await sockets.create_server(
             self._caller_server,
             *settings.split_address(self.config.listeners.callers),
-            backlog=ACCEPTED_PER_TURN,
+            backlog=BACKLOG,
         )
-        sockets.set_backlog(self._caller_sockets, BACKLOG)
         addresses = {self.config.listeners.readiness}
         if self.config.listeners.directory:
             addresses.add(self.config.listeners.directory)
         for address in addresses:
             self._internal_sockets.append(
-                await loop.create_server(
+                await sockets.create_server(
                     self._internal_server,
                     *settings.split_address(address),
                     backlog=BACKLOG,
--- a/oleanderbay/process/serving/callers.py
+++ b/oleanderbay/process/serving/callers.py
@@ -91,7 +91,7 @@
             max_line_size=self.config.max_header_bytes,
             max_field_size=self.config.max_header_bytes,
         )
-        self.sockets = await asyncio.get_running_loop().create_server(
+        self.sockets = await sockets.create_server(
             self.server, self.config.host, self.config.port, backlog=BACKLOG
         )
         self.port = self.sockets.sockets[0].getsockname()[1]
--- a/tests/connection/test_sockets.py
+++ b/tests/connection/test_sockets.py
@@ -129,10 +129,10 @@
 
 # With one number for both, a server without a free descriptor spent its time on
 # failed attempts to accept, while its requests and its stop waited.
-async def test_more_connections_wait_than_are_accepted_in_a_turn():
+async def test_more_connections_wait_than_are_accepted_in_a_turn(monkeypatch):
+    monkeypatch.setattr(sockets, "ACCEPTED_PER_TURN", 1)
     loop = asyncio.get_running_loop()
-    server = await loop.create_server(Echo, "127.0.0.1", 0, backlog=1)
-    sockets.set_backlog(server, 64)
+    server = await sockets.create_server(Echo, "127.0.0.1", 0, backlog=64)
     address = server.sockets[0].getsockname()
     callers = [socket.create_connection(address, timeout=1) for _ in range(40)]
     for caller in callers:
