Derive what is asked of a server from one list of its connections

Four methods filtered the connections of a server alike, and a stop of entries, which asks for unsent bytes every 50 ms, had all connections checked for requests as well. Behaviour stays as it is; tests of connections, listeners and callers passed.

--- a/oleanderbay/connection/aiohttp_internals.py
+++ b/oleanderbay/connection/aiohttp_internals.py
@@ -180,34 +180,32 @@
         """
         return factory(self, self._loop, self._kwargs)
 
-    def status(self) -> dict[str, int]:
-        """Returns counts of connections and bytes, for the log of a stop."""
-        connections = [
+    @property
+    def protocols(self) -> "list[ServerProtocol]":
+        """The open connections."""
+        return [
             connection
             for connection in self.connections
             if isinstance(connection, ServerProtocol)
         ]
-        return {
-            "connections": len(connections),
-            "busy": sum(c.is_busy for c in connections),
-            "unsent_bytes": sum(c.unsent_bytes for c in connections),
-        }
+
+    @property
+    def busy_count(self) -> int:
+        """Number of connections with a request or an answer under way."""
+        return sum(connection.is_busy for connection in self.protocols)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes of responses that no socket has taken yet."""
+        return sum(connection.unsent_bytes for connection in self.protocols)
 
     def is_busy(self) -> bool:
         """Whether any connection has a request or an answer under way."""
-        return any(
-            connection.is_busy
-            for connection in self.connections
-            if isinstance(connection, ServerProtocol)
-        )
+        return any(connection.is_busy for connection in self.protocols)
 
     def has_request(self) -> bool:
         """Whether any connection has a request without an answer."""
-        return any(
-            connection.has_request
-            for connection in self.connections
-            if isinstance(connection, ServerProtocol)
-        )
+        return any(connection.has_request for connection in self.protocols)
 
     def close_if_idle(self) -> bool:
         """Closes all connections unless one is busy; returns whether it did.
@@ -217,7 +215,7 @@
         """
         if self.is_busy():
             return False
-        for connection in self.connections:
+        for connection in self.protocols:
             connection.force_close()
         return True
 
--- a/oleanderbay/gateway/listener.py
+++ b/oleanderbay/gateway/listener.py
@@ -247,13 +247,16 @@
             self._overdue_task.cancel()
 
     def _log_stop(self, event: str) -> None:
+        server = self._caller_server
         log.info(
             event,
             after_ms=self.pipeline.stop_limit.since_start_ms(
                 self.clock.now_ms()
             ),
             in_progress=self.in_progress,
-            **self._caller_server.status() if self._caller_server else {},
+            connections=len(server.protocols) if server else 0,
+            busy=server.busy_count if server else 0,
+            unsent_bytes=server.unsent_bytes if server else 0,
         )
 
     def limits(self) -> table.Limits:
--- a/oleanderbay/process/serving/callers.py
+++ b/oleanderbay/process/serving/callers.py
@@ -112,7 +112,7 @@
         while not is_over():
             now_ms = self.clock.now_ms()
             # What is in the write buffers is lost when the process ends.
-            left_bytes = self.server.status()["unsent_bytes"]
+            left_bytes = self.server.unsent_bytes
             if self.in_progress or left_bytes != unsent_bytes:
                 unsent_bytes, moved_ms = left_bytes, now_ms
             if not (
--- a/tests/process/serving/test_callers.py
+++ b/tests/process/serving/test_callers.py
@@ -422,7 +422,7 @@
         reader, writer = await _ask_slowly(path)
         stop = asyncio.create_task(listener.drain(lambda: False))
         await path.until(lambda: not listener.in_progress)
-        assert listener.server.status()["unsent_bytes"] > 0
+        assert listener.server.unsent_bytes > 0
         await path.clock.sleep_ms(callers.PARTIAL_HEAD_MS + 1_000)
         assert not stop.done()
         head = await reader.readuntil(b"\r\n\r\n")
@@ -430,7 +430,7 @@
         async with asyncio.timeout(20):
             assert len(await reader.readexactly(length)) == length
             await stop
-        assert listener.server.status()["unsent_bytes"] == 0
+        assert listener.server.unsent_bytes == 0
         writer.close()
 
 
@@ -445,7 +445,7 @@
         begun_ms = path.clock.now_ms()
         await listener.drain(lambda: False)
         spent_ms = path.clock.now_ms() - begun_ms
-        assert listener.server.status()["unsent_bytes"] > 0
+        assert listener.server.unsent_bytes > 0
         assert spent_ms >= callers.STALLED_ANSWER_MS
         assert reader.at_eof() is False
         writer.close()
