Refuse tunnels in one place of a stop

Since a stop calls leave at its signal, drain needs not do it again; it only waits. The test calls both, as a stop does, and keeps its assertions; tests of tunnels and partitions passed.

--- a/oleanderbay/gateway/tunnels.py
+++ b/oleanderbay/gateway/tunnels.py
@@ -194,12 +194,11 @@
         self._leaving = True
 
     async def drain(self, end_ms: int) -> None:
-        """Opens no more tunnels, and waits until the others are closed.
+        """Waits until all tunnels are closed, after `leave`.
 
         Args:
             end_ms: Monotonic time at which the wait ends in any case.
         """
-        self.leave()
         while self.count and self.clock.now_ms() < end_ms:
             await self.clock.sleep_ms(DRAIN_POLL_MS)
 
--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -184,6 +184,7 @@
     """Guards against requests that the stop of another gateway cuts off."""
     _, writer = await rig.open()
     clock = rig.server.clock
+    rig.server.leave()
     drain = asyncio.create_task(rig.server.drain(clock.now_ms() + 20_000))
     await asyncio.sleep(0)
     with pytest.raises(tunnels.TunnelError, match="busy"):
