--- a/tests/process/serving/test_callers.py
+++ b/tests/process/serving/test_callers.py
@@ -1,6 +1,7 @@
 """Tests for the caller listener: invalid input is refused as not run."""
 
 import asyncio
+import contextlib
 import json
 import os
 import socket
@@ -390,8 +391,19 @@
         writer.close()
 
 
+@contextlib.asynccontextmanager
+async def _slow_answer():
+    """Runs an entry whose answer exceeds the buffers of the kernel."""
+    async with (
+        serving_path.running() as path,
+        serving_path.engines(path),
+    ):
+        reader, writer = await _ask_slowly(path)
+        yield path, path.served.listener, reader
+        writer.close()
+
+
 async def _ask_slowly(path):
-    """Sends a request whose answer exceeds all buffers of the kernel."""
     listener = path.served.listener
     listener.sockets.sockets[0].setsockopt(
         socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096
@@ -414,12 +426,7 @@
 # The end of an answer that its handler had written was lost with the process
 # if its caller read slowly and the stop had lasted for 5 s.
 async def test_a_stop_waits_until_answers_are_sent():
-    async with (
-        serving_path.running() as path,
-        serving_path.engines(path),
-    ):
-        listener = path.served.listener
-        reader, writer = await _ask_slowly(path)
+    async with _slow_answer() as (path, listener, reader):
         stop = asyncio.create_task(listener.drain(lambda: False))
         await path.until(lambda: not listener.in_progress)
         assert listener.server.unsent_bytes > 0
@@ -431,21 +438,14 @@
             assert len(await reader.readexactly(length)) == length
             await stop
         assert listener.server.unsent_bytes == 0
-        writer.close()
 
 
 # A caller that never reads its answer must not hold up a stop without a limit.
 async def test_a_stop_gives_up_answers_that_are_not_read():
-    async with (
-        serving_path.running() as path,
-        serving_path.engines(path),
-    ):
-        listener = path.served.listener
-        reader, writer = await _ask_slowly(path)
+    async with _slow_answer() as (path, listener, reader):
         begun_ms = path.clock.now_ms()
         await listener.drain(lambda: False)
         spent_ms = path.clock.now_ms() - begun_ms
         assert listener.server.unsent_bytes > 0
         assert spent_ms >= callers.STALLED_ANSWER_MS
         assert reader.at_eof() is False
-        writer.close()
