Log orders to workers, and why members of a group may join another one

Each attempt of an order now leaves a line with its operation, group, fence and result; a planned group names its members; the reason of a release is logged once per group, and so is a former head that is not told to leave. A worker's record with a lower sequence than the one before is logged as well. No decision changes.

--- a/oleanderbay/gateway/dissolution.py
+++ b/oleanderbay/gateway/dissolution.py
@@ -62,6 +62,8 @@
         self.orphaned: set[Key] = set()
         # Last known head of each group.
         self._heads: dict[Key, workers.Worker] = {}
+        # Groups whose members may join others, with the reason.
+        self._released: dict[Key, str] = {}
 
     def update_heads(self, groups: Mapping[Key, workers.Group]) -> None:
         """Records the heads of all groups and forgets groups that are gone."""
@@ -75,6 +77,11 @@
                 del self._heads[key]
         self.closed &= set(groups)
         self.orphaned &= set(groups)
+        self._released = {
+            key: reason
+            for key, reason in self._released.items()
+            if key in groups
+        }
 
     def start(self, group: workers.Group, graceful: bool) -> None:
         """Starts to close a group unless this is already in progress."""
@@ -91,22 +98,30 @@
         Starts to check the head if it vanished or was found lost.
         """
         key = (group.name, group.epoch)
+        reason = self._release_reason(key, group.head)
+        if reason and self._released.get(key) != reason:
+            self._released[key] = reason
+            log.info("members released", group=key[0], reason=reason)
+        return bool(reason)
+
+    def _release_reason(self, key: Key, head: workers.Worker | None) -> str:
+        """Returns why the members of a group are free; empty if they aren't."""
         if key in self.closed:
-            return True
-        head = group.head
+            return "closed"
         if head is not None:
             assert head.membership is not None
             if head.membership.state in SERVING_STATES:
-                return self.prober.is_lost(head) and self._check_orphaned(key)
-            return not self.is_closing(key)
+                lost = self.prober.is_lost(head)
+                return "lost" if lost and self._check_orphaned(key) else ""
+            state = head.membership.state.value
+            return "" if self.is_closing(key) else f"head is {state}"
         last_head = self._heads.get(key)
         current = last_head and self.prober.gateway_state.workers.get(
             last_head.id
         )
         if current is not None and not self.prober.is_lost(current):
-            # The head is alive and in no group or in another one.
-            return True
-        return self._check_orphaned(key)
+            return "head is in no group or in another one"
+        return "orphaned" if self._check_orphaned(key) else ""
 
     def _check_orphaned(self, key: Key) -> bool:
         """Whether a group without its head is orphaned; checks it if not."""
@@ -167,6 +182,8 @@
                 lambda fence: self.orders.close_group(
                     head, fence, *key, abrupt
                 ),
+                operation="close",
+                group=key[0],
             )
         except fenced_orders.OrderError as error:
             log.info("group not closed", group=key[0], error=str(error))
--- a/oleanderbay/gateway/fenced_orders.py
+++ b/oleanderbay/gateway/fenced_orders.py
@@ -3,6 +3,8 @@
 import functools
 from collections.abc import Awaitable, Callable
 
+import structlog
+
 from oleanderbay.connection import permissions
 from oleanderbay.gateway import domain_ownership, interfaces, probing, workers
 from oleanderbay.process import clock as clocks
@@ -12,6 +14,8 @@
 
 ACCEPTED = (interfaces.OrderResult.DONE, interfaces.OrderResult.BEGUN)
 
+log = structlog.get_logger()
+
 
 class OrderError(Exception):
     """An order failed, or a worker is not in the state that it requires."""
@@ -34,12 +38,18 @@
         self,
         worker: workers.Worker,
         order: Callable[[int], Awaitable[interfaces.OrderResult]],
+        **context: object,
     ) -> None:
         """Sends an order until it is accepted.
 
         Orders are idempotent: a worker that is already in the state asked for
         accepts the order again.
 
+        Args:
+            worker: The worker.
+            order: Sends the order with a fencing token.
+            context: Fields of the log lines, such as the operation.
+
         Raises:
             OrderError: It was not accepted.
         """
@@ -53,6 +63,13 @@
                 raise OrderError("the domain has another owner")
             with permissions.required(owns):
                 result = await order(generation)
+            log.info(
+                "order",
+                worker=worker.id,
+                fence=generation,
+                result=result.value,
+                **context,
+            )
             if result in ACCEPTED:
                 return
             if result is interfaces.OrderResult.FENCED:
--- a/oleanderbay/gateway/formation.py
+++ b/oleanderbay/gateway/formation.py
@@ -87,6 +87,12 @@
             self._group_count & ((1 << EPOCH_COUNTER_BITS) - 1)
         )
         key = (f"{self.name_prefix}-{epoch}", epoch)
+        log.info(
+            "group planned",
+            group=key[0],
+            model=planned.model.name,
+            members=[member.worker.id for member in planned.members],
+        )
         self.forming[key] = planned.model
         for member in planned.members:
             self.joining[member.worker.id] = planned.model.name
@@ -212,7 +218,15 @@
                 # Its head may only be paused, and its group not broken yet, so
                 # the member itself has to leave.
                 head = worker
-            if head is None or head.id in removed or self.prober.is_lost(head):
+            if head is None or self.prober.is_lost(head):
+                log.info(
+                    "former head not removed",
+                    worker=worker.id,
+                    group=key[0],
+                    head=head.id if head is not None else "",
+                )
+                continue
+            if head.id in removed:
                 continue
             removed.add(head.id)
             await self.sender.send(
@@ -220,6 +234,8 @@
                 lambda fence, head=head, key=key: self.orders.leave_group(  # type: ignore[misc]
                     head, fence, *key
                 ),
+                operation="leave",
+                group=key[0],
             )
 
     async def _join_members(
@@ -233,6 +249,9 @@
                 lambda fence: self.orders.join_group(
                     worker, fence, *key, model.name, ids
                 ),
+                operation="join",
+                group=key[0],
+                head=ids[0],
             )
 
         results = await asyncio.gather(
@@ -280,7 +299,10 @@
             await self.clock.sleep_ms(POLL_INTERVAL_MS)
         head = members[0]
         await self.sender.send(
-            head, lambda fence: self.orders.open_group(head, fence, *key)
+            head,
+            lambda fence: self.orders.open_group(head, fence, *key),
+            operation="open",
+            group=key[0],
         )
         self.telemetry.count_group_change("formed")
         # Wait until the head's record shows that the group is open.
@@ -332,6 +354,8 @@
                 lambda fence: self.orders.stage_model(
                     worker, fence, model.name
                 ),
+                operation="stage",
+                model=model.name,
             )
         except fenced_orders.OrderError as error:
             log.info("model not staged", worker=worker.id, error=str(error))
--- a/oleanderbay/gateway/state.py
+++ b/oleanderbay/gateway/state.py
@@ -145,6 +145,18 @@
             del self._said_draining[worker.id]
         self.missing_members.pop(worker.id, None)
         previous = self.workers.get(worker.id)
+        if (
+            previous is not None
+            and previous.started_ms == worker.started_ms
+            and previous.sequence > worker.sequence
+        ):
+            log.info(
+                "worker record outdated",
+                worker=worker.id,
+                sequence=worker.sequence,
+                known=previous.sequence,
+                offset=positions.number_in_era(record.offset),
+            )
         # Gateways that follow this one may not know it from the worker itself.
         repeats = not confirms and self._is_repeat(previous, worker)
         if worker.remaining_cold_ms <= 0:
