--- a/oleanderbay/gateway/allocation.py
+++ b/oleanderbay/gateway/allocation.py
@@ -157,7 +157,7 @@
         warm = collections.Counter(
             model
             for worker in domains[domain]
-            for model in worker.staged.union(worker.models[:1])
+            for model in sorted(worker.staged.union(worker.models[:1]))
         )
         warm.update(
             self.formations.joining[worker.id]
--- a/oleanderbay/gateway/controller.py
+++ b/oleanderbay/gateway/controller.py
@@ -206,11 +206,14 @@
         active: capacity_module.ActiveGroups,
     ) -> None:
         members = domains[domain]
-        local = {
-            (w.membership.group, w.membership.epoch)
-            for w in members
-            if w.membership is not None
-        }
+        # Without duplicates, and in the same order in each run.
+        local = tuple(
+            dict.fromkeys(
+                (w.membership.group, w.membership.epoch)
+                for w in members
+                if w.membership is not None
+            )
+        )
         for key in local:
             self._reconcile_group(engine, groups[key])
         free = [
