Let no worker join a group before an accepted order has ended its former one

Cause: before the join, the former head was told to leave, but nobody was if the head counted as lost or no record named it. That it had ended was then a belief of this gateway: a record older than the order to open, the word of one peer, or the memory of a close in an earlier term, after which another owner had opened the group again.

Change: every worker that is taken from a group rests on an order that was accepted. The head leaves if it can be told, so that a delayed order to open finds no group; otherwise the member itself leaves. Orders to leave are sent at the same time.

Why it works: a worker that has left has no group whose head could serve it, whatever the gateway believes of that head. Repairs need no further wait: members of a group whose head died were told to leave already, and now at once instead of one by one.

--- a/oleanderbay/gateway/formation.py
+++ b/oleanderbay/gateway/formation.py
@@ -1,7 +1,7 @@
 """Forms groups: makes workers their members and opens them."""
 
 import asyncio
-from collections.abc import Container
+from collections.abc import Awaitable, Container, Iterable
 
 import structlog
 
@@ -144,7 +144,7 @@
         started_ms = self.clock.now_ms()
         try:
             await self._verify_records(members)
-            await self._remove_heads(members)
+            await self._leave_former_groups(members)
             await self._join_members(key, planned.model, members)
             await self._open_when_ready(
                 key, members, planned.model, planned.ready_ms
@@ -199,45 +199,43 @@
                     f"worker {worker.id} still serves a group"
                 )
 
-    async def _remove_heads(self, members: list[workers.Worker]) -> None:
-        """Makes the heads of the members' former groups leave those groups.
+    async def _leave_former_groups(self, members: list[workers.Worker]) -> None:
+        """Ends the former groups of the members, or their membership in them.
 
-        A delayed order to open a former group then finds no group, even if
-        its head joins the new one. This has to happen before any member joins
-        the new group.
+        What this gateway knows of a head may be wrong or outdated, so no member
+        joins before a worker has accepted an order to leave. The head leaves if
+        it can be told: a delayed order to open its group then finds none.
+        Otherwise it may still serve, and the member itself leaves.
+
+        Raises:
+            fenced_orders.OrderError: A worker did not accept the order.
         """
-        removed: set[str] = set()
         groups = self.gateway_state.groups()
-        for worker in members:
-            if worker.membership is None:
+        leaving: dict[str, tuple[workers.Worker, Key]] = {}
+        for member in members:
+            if member.membership is None:
                 continue
-            key = (worker.membership.group, worker.membership.epoch)
+            key = (member.membership.group, member.membership.epoch)
             group = groups.get(key)
-            head = group.head if group is not None else None
-            if key in self.dissolution.orphaned:
-                # Its head may only be paused, and its group not broken yet, so
-                # the member itself has to leave.
-                head = worker
-            if head is None or self.prober.is_lost(head):
-                log.info(
-                    "former head not removed",
-                    worker=worker.id,
-                    group=key[0],
-                    head=head.id if head is not None else "",
-                )
-                continue
-            if head.id in removed:
-                continue
-            removed.add(head.id)
+            leaver = group.head if group is not None else None
+            if (
+                leaver is None
+                or key in self.dissolution.orphaned
+                or self.prober.is_lost(leaver)
+            ):
+                leaver = member
+            leaving[leaver.id] = (leaver, key)
+
+        async def leave(worker: workers.Worker, key: Key) -> None:
             await self.sender.send(
-                head,
-                lambda fence, head=head, key=key: self.orders.leave_group(  # type: ignore[misc]
-                    head, fence, *key
-                ),
+                worker,
+                lambda fence: self.orders.leave_group(worker, fence, *key),
                 operation="leave",
                 group=key[0],
             )
 
+        await _all_accepted(leave(*item) for item in leaving.values())
+
     async def _join_members(
         self, key: Key, model: table.Model, members: list[workers.Worker]
     ) -> None:
@@ -254,12 +252,7 @@
                 head=ids[0],
             )
 
-        results = await asyncio.gather(
-            *(join(worker) for worker in members), return_exceptions=True
-        )
-        for result in results:
-            if isinstance(result, BaseException):
-                raise result
+        await _all_accepted(join(worker) for worker in members)
 
     async def _open_when_ready(
         self,
@@ -361,6 +354,14 @@
             log.info("model not staged", worker=worker.id, error=str(error))
 
 
+async def _all_accepted(orders: Iterable[Awaitable[None]]) -> None:
+    """Waits for the end of all orders; raises the first error of any."""
+    results = await asyncio.gather(*orders, return_exceptions=True)
+    for result in results:
+        if isinstance(result, BaseException):
+            raise result
+
+
 def _group_key(membership: workers.Membership | None) -> Key | None:
     if membership is None:
         return None
--- a/tests/gateway/test_controller.py
+++ b/tests/gateway/test_controller.py
@@ -288,6 +288,68 @@
     assert sorted(simulation.orders("join")) == [("join", "b"), ("join", "c")]
 
 
+def left_before_joining(simulation, worker_id):
+    """Whether a worker was told to leave before it was told to join."""
+    order = simulation.orders()
+    return ("join", worker_id) in order and (
+        ("leave", worker_id) in order[: order.index(("join", worker_id))]
+    )
+
+
+async def test_members_leave_a_group_whose_head_was_cut_off_as_it_opened(
+    simulation,
+):
+    """Guards against a worker in two groups at once.
+
+    The head's last record is older than the order to open, which it accepted.
+    """
+    simulation.add("a", "g", 0, "ready")
+    simulation.add("b", "g", 1, "ready")
+    simulation.add("c")
+    await simulation.clock.advance(1_400)
+    assert set(simulation.orders()) == {("open", "a")}
+    del simulation.actual["a"]
+    simulation.results["open", "a"] = RESULT.UNREACHABLE
+    await simulation.clock.advance(5_000)
+    assert left_before_joining(simulation, "b")
+
+
+async def test_members_leave_a_group_that_another_owner_has_opened_again(
+    simulation,
+):
+    """Guards against a worker in two groups at once.
+
+    This gateway closed the group in an earlier term as the owner, and the store
+    has lost the record of the head since.
+    """
+    simulation.add("a", "g", 0, draining=True)
+    simulation.add("b", "g", 1, "ready")
+    await simulation.clock.advance(1_400)
+    assert simulation.orders() == [("close", "a")]
+    simulation.add("a", "g", 0)
+    simulation.gateway.drop("a")
+    simulation.add("c")
+    await simulation.clock.advance(5_000)
+    assert left_before_joining(simulation, "b")
+
+
+async def test_members_leave_a_group_whose_head_is_found_lost_meanwhile(
+    simulation,
+):
+    """Guards against a worker in two groups at once.
+
+    A peer finds the head lost after the members have been found free.
+    """
+    simulation.add("a", "g", 0, "ready", draining=True)
+    simulation.add("b", "g", 1, "ready")
+    simulation.add("c")
+    simulation.results["leave", "a"] = RESULT.UNKNOWN
+    await simulation.clock.advance(1_500)
+    simulation.gateway.worker_health.update_peer("g2", (), (), {"a": 0})
+    await simulation.clock.advance(5_000)
+    assert left_before_joining(simulation, "b")
+
+
 async def test_groups_are_kept_after_all_gateways_were_lost(simulation):
     """Guards against a whole fleet that loads its models again."""
     simulation.add("a", "g", 0)
