Forget which groups were closed once their domain has another owner

Callers saw streams end: the head of a group that served was told to leave it, and its members joined another one.

Cause: an owner kept in memory that it had closed a group. When the domain went to another gateway, which opened the group again, and came back, the memory was taken for the present, and the check of the workers' own reports was skipped for closed groups. With 195 gateways domains change their owner far more often than with 7.

Change: what a gateway has found out about a group is dropped in each pass in which it does not own the domain, also while its records are not current.

Evidence: the new test of the controller fails before and passes after.

Why it works: while another gateway owns the domain, nothing is remembered that it could change.

--- a/oleanderbay/gateway/controller.py
+++ b/oleanderbay/gateway/controller.py
@@ -128,6 +128,8 @@
     def reconcile(self) -> None:
         """Checks all owned domains once and starts what their groups need."""
         current = self.gateway_state.table
+        groups = self.gateway_state.groups()
+        self.dissolution.forget_unowned(groups)
         self.demand.sample()
         # After a gap the records may be older than orders sent since then.
         # Each worker writes its record once per heartbeat.
--- a/oleanderbay/gateway/dissolution.py
+++ b/oleanderbay/gateway/dissolution.py
@@ -75,14 +75,25 @@
         for key in tuple(self._heads):
             if key not in groups:
                 del self._heads[key]
-        self.closed &= set(groups)
-        self.orphaned &= set(groups)
         self._released = {
             key: reason
             for key, reason in self._released.items()
             if key in groups
         }
 
+    def forget_unowned(self, groups: Mapping[Key, workers.Group]) -> None:
+        """Forgets the groups of domains that this gateway does not own.
+
+        Another owner may open a group again that this one has closed.
+        """
+        for key in self.closed | self.orphaned:
+            group = groups.get(key)
+            if group is None or not self.sender.owns(
+                next(iter(group.members.values()))
+            ):
+                self.closed.discard(key)
+                self.orphaned.discard(key)
+
     def start(self, group: workers.Group, graceful: bool) -> None:
         """Starts to close a group unless this is already in progress."""
         key = (group.name, group.epoch)
--- a/oleanderbay/gateway/fenced_orders.py
+++ b/oleanderbay/gateway/fenced_orders.py
@@ -82,9 +82,10 @@
             f"worker {worker.id} did not accept the order: {result.value}"
         )
 
+    def owns(self, worker: workers.Worker) -> bool:
+        """Whether orders to a worker may be sent now."""
+        return self.ownership.owns(f"{worker.service}/{worker.domain}")
+
     def _owns(self, worker: workers.Worker, generation: int) -> bool:
         """Whether an order with the fence of a generation may be sent now."""
-        return (
-            self.ownership.owns(f"{worker.service}/{worker.domain}")
-            and self.ownership.generation == generation
-        )
+        return self.owns(worker) and self.ownership.generation == generation
--- a/tests/gateway/test_controller.py
+++ b/tests/gateway/test_controller.py
@@ -350,6 +350,24 @@
     assert left_before_joining(simulation, "b")
 
 
+async def test_a_group_that_another_owner_has_opened_again_is_kept(simulation):
+    """Guards against requests that are cut off.
+
+    This gateway closed the group before the domain had another owner.
+    """
+    simulation.add("a", "g", 0, draining=True)
+    simulation.add("b", "g", 1, "ready")
+    await simulation.clock.advance(1_400)
+    assert simulation.orders() == [("close", "a")]
+    simulation.ownership.suspended = lambda: True
+    await simulation.clock.advance(600)
+    simulation.add("a", "g", 0)
+    simulation.ownership.suspended = lambda: False
+    simulation.add("c")
+    await simulation.clock.advance(3_000)
+    assert simulation.orders() == [("close", "a")]
+
+
 async def test_groups_are_kept_after_all_gateways_were_lost(simulation):
     """Guards against a whole fleet that loads its models again."""
     simulation.add("a", "g", 0)
