Free the members of a group by what its head reports

Cause: a record that says that a head does not serve was taken for the present. It may be older than the order to open which the head has accepted, or come from another writer. A head that this gateway alone could not reach counted as out of reach.

Change: members are free once the head itself has reported that it does not serve, or once no gateway reaches it; it is asked over the paths of other gateways too. A head that serves unlike its record is left alone until its record follows. A report alone may come right before the head opens, so it holds only until a record says that the head serves; only an order to close that was obeyed holds longer.

Evidence: a test of the controller fails before and passes after; a second one guards the head that opens after it was asked.

--- a/oleanderbay/gateway/controller.py
+++ b/oleanderbay/gateway/controller.py
@@ -253,7 +253,11 @@
         key = (group.name, group.epoch)
         model = engine.model(group.model)
         head = group.head
-        if key in self.formations.forming or key in self.dissolution.closed:
+        if (
+            key in self.formations.forming
+            or key in self.dissolution.closed
+            or key in self.dissolution.idle
+        ):
             return
         if head is None or model is None:
             return
--- a/oleanderbay/gateway/dissolution.py
+++ b/oleanderbay/gateway/dissolution.py
@@ -5,6 +5,7 @@
 import structlog
 
 from oleanderbay.gateway import (
+    dialing,
     fenced_orders,
     interfaces,
     probing,
@@ -19,8 +20,8 @@
 DRAIN_POLL_INTERVAL_MS = 100
 # Time between two reports of a head that is being closed.
 REPORT_INTERVAL_MS = 200
-# Reports asked of a head that vanished before its group counts as orphaned.
-ORPHAN_REPORT_ATTEMPTS = 2
+# Reports asked of a head before its group counts as orphaned.
+HEAD_REPORT_ATTEMPTS = 2
 # Time that a group with a draining member has to finish its requests.
 DRAIN_TIMEOUT_MS = 1_500
 
@@ -35,8 +36,10 @@
     """Closes groups and tracks which ones no longer serve.
 
     Attributes:
-        closed: Groups whose heads reported that they no longer serve.
-        orphaned: Groups whose heads can't be reached by this gateway.
+        closed: Groups whose heads obeyed an order to close.
+        idle: Groups whose heads reported that they don't serve, without such
+            an order. They may be about to open.
+        orphaned: Groups whose heads can't be reached.
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         self.tasks = tasks
         self.telemetry = telemetry
         self.closed: set[Key] = set()
+        self.idle: set[Key] = set()
         self.orphaned: set[Key] = set()
         # Last known head of each group.
         self._heads: dict[Key, workers.Worker] = {}
@@ -68,6 +72,8 @@
     def update_heads(self, groups: Mapping[Key, workers.Group]) -> None:
         """Records the heads of all groups and forgets groups that are gone."""
         for key, group in groups.items():
+            if self._serves_by_record(group):
+                self.idle.discard(key)
             if group.head is not None:
                 self._heads[key] = group.head
                 if not self.prober.is_lost(group.head):
@@ -86,13 +92,13 @@
 
         Another owner may open a group again that this one has closed.
         """
-        for key in self.closed | self.orphaned:
+        for key in self.closed | self.idle | self.orphaned:
             group = groups.get(key)
             if group is None or not self.sender.owns(
                 next(iter(group.members.values()))
             ):
-                self.closed.discard(key)
-                self.orphaned.discard(key)
+                for known in (self.closed, self.idle, self.orphaned):
+                    known.discard(key)
 
     def start(self, group: workers.Group, graceful: bool) -> None:
         """Starts to close a group unless this is already in progress."""
@@ -106,64 +112,80 @@
     def members_released(self, group: workers.Group) -> bool:
         """Whether the members of a group may join another one.
 
-        Starts to check the head if it vanished or was found lost.
+        They may once the head has reported that it does not serve, or can't be
+        reached. A record alone does not tell: the head may have accepted an
+        order to open since. Starts to ask the head unless its record says that
+        it serves.
         """
         key = (group.name, group.epoch)
-        reason = self._release_reason(key, group.head)
-        if reason and self._released.get(key) != reason:
-            self._released[key] = reason
-            log.info("members released", group=key[0], reason=reason)
-        return bool(reason)
-
-    def _release_reason(self, key: Key, head: workers.Worker | None) -> str:
-        """Returns why the members of a group are free; empty if they aren't."""
-        if key in self.closed:
-            return "closed"
-        if head is not None:
-            assert head.membership is not None
-            if head.membership.state in SERVING_STATES:
-                lost = self.prober.is_lost(head)
-                return "lost" if lost and self._check_orphaned(key) else ""
-            state = head.membership.state.value
-            return "" if self.is_closing(key) else f"head is {state}"
-        last_head = self._heads.get(key)
-        current = last_head and self.prober.gateway_state.workers.get(
-            last_head.id
+        for reason, known in (
+            ("closed", self.closed),
+            ("idle", self.idle),
+            ("orphaned", self.orphaned),
+        ):
+            if key not in known:
+                continue
+            if self._released.get(key) != reason:
+                self._released[key] = reason
+                log.info("members released", group=key[0], reason=reason)
+            return True
+        head = group.head
+        if not self._serves_by_record(group) and (
+            head is None
+            or self.prober.is_lost(head)
+            or not self.is_closing(key)
+        ):
+            self.tasks.start(("check", key), self._check_head(key))
+        return False
+
+    def _serves_by_record(self, group: workers.Group) -> bool:
+        """Whether a group's head serves by its record and is not lost."""
+        head = group.head
+        return (
+            head is not None
+            and head.membership is not None
+            and head.membership.state in SERVING_STATES
+            and not self.prober.is_lost(head)
         )
-        if current is not None and not self.prober.is_lost(current):
-            return "head is in no group or in another one"
-        return "orphaned" if self._check_orphaned(key) else ""
-
-    def _check_orphaned(self, key: Key) -> bool:
-        """Whether a group without its head is orphaned; checks it if not."""
-        if key not in self.orphaned:
-            self.tasks.start(("orphan", key), self._dissolve_headless(key))
-        return key in self.orphaned
-
-    async def _dissolve_headless(self, key: Key) -> None:
-        """Closes or orphans a group whose head vanished or was found lost.
-
-        A head that only the store can't reach still serves and is closed.
-        One that this gateway can't reach either stays the head until the
-        members have left the group.
+
+    async def _check_head(self, key: Key) -> None:
+        """Finds out whether a group may still serve, and ends it if it should.
+
+        A head that only the store can't reach still serves and is closed. One
+        that no gateway reaches stays the head until the members have left.
         """
         head = self._heads.get(key)
-        for _ in range(ORPHAN_REPORT_ATTEMPTS if head is not None else 0):
+        for _ in range(HEAD_REPORT_ATTEMPTS if head is not None else 0):
             assert head is not None
-            report = await self.orders.fetch_report(
-                head, probing.REPORT_TIMEOUT_MS
-            )
+            with dialing.connecting_to(head):
+                report = await self.orders.fetch_report(
+                    head, probing.REPORT_TIMEOUT_MS
+                )
             if isinstance(report, interfaces.Report):
-                if serves(report, key):
-                    await self._close_head(head, key, True)
+                if not serves(report, key):
+                    self.idle.add(key)
+                elif self._is_listed(head):
+                    log.info("head serves unlike its record", group=key[0])
+                    await self.clock.sleep_ms(REPORT_INTERVAL_MS)
                 else:
-                    self.closed.add(key)
+                    await self._close_head(head, key, True)
                 return
             if report is interfaces.OrderResult.REFUSED:
                 break
+        if head is not None and self._is_listed(head):
+            self.prober.worker_health.record_lost(head)
         self.orphaned.add(key)
         log.info("group orphaned", group=key[0])
 
+    def _is_listed(self, worker: workers.Worker) -> bool:
+        """Whether this run of a worker has a record and was not found lost."""
+        current = self.prober.gateway_state.workers.get(worker.id)
+        return (
+            current is not None
+            and current.started_ms == worker.started_ms
+            and not self.prober.is_lost(current)
+        )
+
     async def close_group(self, group: workers.Group, graceful: bool) -> None:
         """Closes a group.
 
--- a/tests/gateway/test_controller.py
+++ b/tests/gateway/test_controller.py
@@ -350,6 +350,40 @@
     assert left_before_joining(simulation, "b")
 
 
+async def test_a_group_is_kept_while_its_head_serves_unlike_its_record(
+    simulation,
+):
+    """Guards against requests that are cut off.
+
+    The head has accepted an order to open after it wrote its record.
+    """
+    simulation.add("a", "g", 0, "ready", draining=True)
+    simulation.actual["a"] = parts.worker(
+        "a", "g", 0, service="chat", draining=True
+    )
+    simulation.add("b", "g", 1, "ready")
+    simulation.add("c")
+    await simulation.clock.advance(4_000)
+    assert simulation.orders() == []
+    simulation.publish()
+    await simulation.clock.advance(500)
+    assert simulation.orders()[:1] == [("close", "a")]
+
+
+async def test_a_group_that_opens_after_its_head_was_asked_is_kept(simulation):
+    """Guards against requests that are cut off.
+
+    A new owner may ask the head right before it obeys an order of the last one.
+    """
+    simulation.add("a", "g", 0, "ready")
+    await simulation.clock.advance(1_400)
+    simulation.add("a", "g", 0)
+    simulation.add("b", "g", 1, "ready")
+    simulation.add("c")
+    await simulation.clock.advance(3_000)
+    assert simulation.orders("leave", "close", "join") == []
+
+
 async def test_a_group_that_another_owner_has_opened_again_is_kept(simulation):
     """Guards against requests that are cut off.
 
