Do not open a group while it is being closed

Callers saw streams end right after their group had opened.

Cause: a head whose record had vanished was asked, still served and was told to close. If its record came back before the close was confirmed, the group was adopted and opened, and then counted as closed. Only a close that began with a record kept a group from being adopted.

Change: a group whose head is being asked, and closed if needed, counts as being closed.

--- a/oleanderbay/gateway/dissolution.py
+++ b/oleanderbay/gateway/dissolution.py
@@ -106,8 +106,10 @@
         self.tasks.start(("close", key), self.close_group(group, graceful))
 
     def is_closing(self, key: Key) -> bool:
-        """Whether a group is being closed."""
-        return self.tasks.running(("close", key))
+        """Whether a group is being closed, or checked and closed if needed."""
+        return self.tasks.running(("close", key)) or self.tasks.running(
+            ("check", key)
+        )
 
     def members_released(self, group: workers.Group) -> bool:
         """Whether the members of a group may join another one.
--- a/tests/gateway/test_controller.py
+++ b/tests/gateway/test_controller.py
@@ -402,6 +402,23 @@
     assert simulation.orders() == [("close", "a")]
 
 
+async def test_a_group_is_not_opened_while_it_is_being_closed(simulation):
+    """Guards against requests that are cut off.
+
+    The head's record returns before it is known whether the head has closed.
+    """
+    simulation.add("a", "g", 0)
+    simulation.add("b", "g", 1, "ready")
+    await simulation.clock.advance(1_400)
+    simulation.results["close", "a"] = RESULT.UNKNOWN
+    simulation.gateway.drop("a")
+    await simulation.clock.advance(200)
+    assert ("close", "a") in simulation.orders()
+    simulation.gateway.add(parts.worker("a", "g", 0, "ready", service="chat"))
+    await simulation.clock.advance(200)
+    assert not simulation.orders("open")
+
+
 async def test_groups_are_kept_after_all_gateways_were_lost(simulation):
     """Guards against a whole fleet that loads its models again."""
     simulation.add("a", "g", 0)
