Let owners reach workers through other gateways

A group whose head its owner alone could not reach stayed as it was: a draining head was never closed, and the members of a group that no longer served joined no other one. Two zones that can't reach each other while a third reaches both are enough.

Cause: probes went through other gateways, but orders and the other reports went over the direct path only.

Change: orders and all reports of owners go through another gateway if the direct path does not open a connection. The permission to send is checked when the bytes are written, as before, and workers check fence and epoch.

Evidence: the new test of the controller fails before and passes after; tests of partitions, tunnels and dialing passed.

--- a/oleanderbay/gateway/dissolution.py
+++ b/oleanderbay/gateway/dissolution.py
@@ -5,7 +5,6 @@
 import structlog
 
 from oleanderbay.gateway import (
-    dialing,
     fenced_orders,
     interfaces,
     probing,
@@ -159,10 +158,7 @@
         head = self._heads.get(key)
         for _ in range(HEAD_REPORT_ATTEMPTS if head is not None else 0):
             assert head is not None
-            with dialing.connecting_to(head):
-                report = await self.orders.fetch_report(
-                    head, probing.REPORT_TIMEOUT_MS
-                )
+            report = await self.prober.fetch_report(head)
             if isinstance(report, interfaces.Report):
                 if not serves(report, key):
                     self.idle.add(key)
@@ -226,9 +222,7 @@
             return
         deadline_ms = self.clock.now_ms() + 2 * self.config.workers.stall_ms
         while self.clock.now_ms() < deadline_ms:
-            report = await self.orders.fetch_report(
-                head, probing.REPORT_TIMEOUT_MS
-            )
+            report = await self.prober.fetch_report(head)
             if isinstance(report, interfaces.Report) and not serves(
                 report, key
             ):
--- a/oleanderbay/gateway/fenced_orders.py
+++ b/oleanderbay/gateway/fenced_orders.py
@@ -6,7 +6,13 @@
 import structlog
 
 from oleanderbay.connection import permissions
-from oleanderbay.gateway import domain_ownership, interfaces, probing, workers
+from oleanderbay.gateway import (
+    dialing,
+    domain_ownership,
+    interfaces,
+    probing,
+    workers,
+)
 from oleanderbay.process import clock as clocks
 
 MAX_ORDER_ATTEMPTS = 4
@@ -40,7 +46,7 @@
         order: Callable[[int], Awaitable[interfaces.OrderResult]],
         **context: object,
     ) -> None:
-        """Sends an order until it is accepted.
+        """Sends an order until it is accepted, by any path to the worker.
 
         Orders are idempotent: a worker that is already in the state asked for
         accepts the order again.
@@ -61,7 +67,7 @@
             owns = functools.partial(self._owns, worker, generation)
             if not owns():
                 raise OrderError("the domain has another owner")
-            with permissions.required(owns):
+            with permissions.required(owns), dialing.connecting_to(worker):
                 result = await order(generation)
             log.info(
                 "order",
--- a/oleanderbay/gateway/formation.py
+++ b/oleanderbay/gateway/formation.py
@@ -173,10 +173,7 @@
                 outdated, or it still serves a group.
         """
         reports = await asyncio.gather(
-            *(
-                self.orders.fetch_report(w, probing.REPORT_TIMEOUT_MS)
-                for w in members
-            )
+            *(self.prober.fetch_report(worker) for worker in members)
         )
         for worker, report in zip(members, reports, strict=True):
             if not isinstance(report, interfaces.Report):
@@ -327,9 +324,7 @@
             return True
         if not ask:
             return False
-        report = await self.orders.fetch_report(
-            record, probing.REPORT_TIMEOUT_MS
-        )
+        report = await self.prober.fetch_report(record)
         if not isinstance(report, interfaces.Report):
             if report is interfaces.OrderResult.UNREACHABLE:
                 self.prober.suspect(record)
--- a/oleanderbay/gateway/probing.py
+++ b/oleanderbay/gateway/probing.py
@@ -50,6 +50,13 @@
         self.worker_health.suspect(worker.id)
         self.tasks.start(("again", worker.id), self.reprobe(worker))
 
+    async def fetch_report(
+        self, worker: workers.Worker
+    ) -> interfaces.Report | interfaces.OrderResult:
+        """Fetches a worker's report, through another gateway if needed."""
+        with dialing.connecting_to(worker):
+            return await self.orders.fetch_report(worker, REPORT_TIMEOUT_MS)
+
     async def probe(self, group: workers.Group) -> None:
         """Asks all members of a suspected group for a report."""
         members = tuple(group.members.values())
@@ -63,10 +70,7 @@
             return
         for _ in range(2):
             # A worker that another gateway reaches is not lost.
-            with dialing.connecting_to(worker):
-                report = await self.orders.fetch_report(
-                    worker, REPORT_TIMEOUT_MS
-                )
+            report = await self.fetch_report(worker)
             if isinstance(report, interfaces.Report):
                 if report.started_ms in (0, worker.started_ms):
                     return
@@ -96,8 +100,7 @@
             await self.probe_worker(worker)
             return
         await self.clock.sleep_ms(REPROBE_INTERVAL_MS)
-        with dialing.connecting_to(worker):
-            report = await self.orders.fetch_report(worker, REPORT_TIMEOUT_MS)
+        report = await self.fetch_report(worker)
         if isinstance(report, interfaces.Report) and report.started_ms in (
             0,
             worker.started_ms,
--- a/tests/gateway/test_controller.py
+++ b/tests/gateway/test_controller.py
@@ -9,6 +9,7 @@
 from oleanderbay.gateway import (
     controller,
     demand,
+    dialing,
     domain_ownership,
     interfaces,
     workers,
@@ -31,6 +32,7 @@
         sent: Orders as operation, worker id and fencing token.
         results: Results of orders that a worker does not carry out, by
             operation and worker id.
+        broken_paths: Workers that only other gateways reach.
         uninterrupted_ms: Time for which the store has answered without a gap.
     """
 
@@ -40,6 +42,7 @@
         self.sent = []
         self.results = {}
         self.actual = {}
+        self.broken_paths = set()
         self.uninterrupted_ms = 10_000
         self.store = parts.Store()
         self.ownership = domain_ownership.DomainOwnership(
@@ -85,7 +88,15 @@
             membership=dataclasses.replace(worker.membership, state=state),
         )
 
+    def _reaches(self, worker):
+        return worker.id in self.actual and (
+            worker.id not in self.broken_paths
+            or dialing._TARGET.get() is not None
+        )
+
     def _order(self, operation, worker, fence):
+        if worker.id in self.broken_paths and not self._reaches(worker):
+            return RESULT.UNREACHABLE
         self.sent.append((operation, worker.id, fence))
         return self.results.get((operation, worker.id), RESULT.DONE)
 
@@ -131,7 +142,7 @@
         return worker.id in self.actual
 
     async def fetch_report(self, worker, timeout_ms):
-        if worker.id not in self.actual:
+        if not self._reaches(worker):
             return RESULT.UNREACHABLE
         current = self.actual[worker.id]
         return interfaces.Report(
@@ -419,6 +430,21 @@
     assert not simulation.orders("open")
 
 
+async def test_owners_reach_workers_through_other_gateways(simulation):
+    """Guards against members of a group that no longer serve.
+
+    The owner's path to the head may be the only one that is broken.
+    """
+    simulation.add("a", "g", 0, draining=True)
+    simulation.add("b", "g", 1, "ready")
+    simulation.add("c")
+    simulation.broken_paths.add("a")
+    await simulation.clock.advance(3_000)
+    order = simulation.orders()
+    assert order.index(("close", "a")) < order.index(("leave", "a"))
+    assert sorted(simulation.orders("join")) == [("join", "b"), ("join", "c")]
+
+
 async def test_groups_are_kept_after_all_gateways_were_lost(simulation):
     """Guards against a whole fleet that loads its models again."""
     simulation.add("a", "g", 0)
