Adopt whole groups whose heads were asked, and believe heads that serve

A head that had just reported that it serves was closed if one peer held it for lost, or if another writer's entry without a start time stood under its id. A head that serves is closed only if the store has no record of it, so that no caller would be sent to it.

Evidence: a new test of the controller for each fails before and passes after.

--- a/oleanderbay/gateway/controller.py
+++ b/oleanderbay/gateway/controller.py
@@ -129,6 +129,7 @@
         """Checks all owned domains once and starts what their groups need."""
         current = self.gateway_state.table
         groups = self.gateway_state.groups()
+        # Domains may change their owner while the records are not current.
         self.dissolution.forget_unowned(groups)
         self.demand.sample()
         # After a gap the records may be older than orders sent since then.
@@ -253,11 +254,7 @@
         key = (group.name, group.epoch)
         model = engine.model(group.model)
         head = group.head
-        if (
-            key in self.formations.forming
-            or key in self.dissolution.closed
-            or key in self.dissolution.idle
-        ):
+        if key in self.formations.forming or key in self.dissolution.closed:
             return
         if head is None or model is None:
             return
@@ -279,6 +276,7 @@
             and not self.dissolution.is_closing(key)
             and not any(w.id in self.formations.joining for w in members)
         ):
+            self.dissolution.idle.discard(key)
             self.formations.adopt(group, model)
 
     def _registering(self, members: Sequence[workers.Worker]) -> bool:
--- a/oleanderbay/gateway/dissolution.py
+++ b/oleanderbay/gateway/dissolution.py
@@ -65,11 +65,11 @@
         self.orphaned: set[Key] = set()
         # Last known head of each group.
         self._heads: dict[Key, workers.Worker] = {}
-        # Groups whose members may join others, with the reason.
+        # Reason of the last log line on each group's members.
         self._released: dict[Key, str] = {}
 
     def update_heads(self, groups: Mapping[Key, workers.Group]) -> None:
-        """Records the heads of all groups and forgets groups that are gone."""
+        """Records the heads of all groups and forgets what no longer holds."""
         for key, group in groups.items():
             if self._serves_by_record(group):
                 self.idle.discard(key)
@@ -156,33 +156,30 @@
         that no gateway reaches stays the head until the members have left.
         """
         head = self._heads.get(key)
-        for _ in range(HEAD_REPORT_ATTEMPTS if head is not None else 0):
-            assert head is not None
+        if head is None or not await self._settle(key, head):
+            self.orphaned.add(key)
+            log.info("group orphaned", group=key[0])
+
+    async def _settle(self, key: Key, head: workers.Worker) -> bool:
+        """Acts on the report of a head; returns whether it can be reached."""
+        listed = head.id in self.prober.gateway_state.workers
+        for _ in range(HEAD_REPORT_ATTEMPTS):
             report = await self.prober.fetch_report(head)
             if isinstance(report, interfaces.Report):
                 if not serves(report, key):
                     self.idle.add(key)
-                elif self._is_listed(head):
+                elif listed:
+                    # Its record will follow, or will be dropped.
                     log.info("head serves unlike its record", group=key[0])
                     await self.clock.sleep_ms(REPORT_INTERVAL_MS)
                 else:
                     await self._close_head(head, key, True)
-                return
+                return True
             if report is interfaces.OrderResult.REFUSED:
-                break
-        if head is not None and self._is_listed(head):
+                return False
+        if listed:
             self.prober.worker_health.record_lost(head)
-        self.orphaned.add(key)
-        log.info("group orphaned", group=key[0])
-
-    def _is_listed(self, worker: workers.Worker) -> bool:
-        """Whether this run of a worker has a record and was not found lost."""
-        current = self.prober.gateway_state.workers.get(worker.id)
-        return (
-            current is not None
-            and current.started_ms == worker.started_ms
-            and not self.prober.is_lost(current)
-        )
+        return False
 
     async def close_group(self, group: workers.Group, graceful: bool) -> None:
         """Closes a group.
--- a/tests/gateway/test_controller.py
+++ b/tests/gateway/test_controller.py
@@ -430,6 +430,36 @@
     assert not simulation.orders("open")
 
 
+async def test_a_group_is_adopted_although_its_head_was_asked_before(
+    simulation,
+):
+    """Guards against a whole group that is formed again at a hand-over.
+
+    The record of one member reached the new owner late.
+    """
+    simulation.add("a", "g", 0, "ready")
+    await simulation.clock.advance(1_400)
+    assert simulation.controller.dissolution.idle
+    simulation.add("b", "g", 1, "ready")
+    await simulation.clock.advance(500)
+    assert set(simulation.orders()) == {("open", "a")}
+
+
+async def test_a_head_that_serves_is_not_closed_by_the_word_of_a_peer(
+    simulation,
+):
+    """Guards against requests that are cut off.
+
+    The path between a peer and the head may be broken.
+    """
+    simulation.add("a", "g", 0)
+    simulation.add("b", "g", 1, "ready")
+    await simulation.clock.advance(1_400)
+    simulation.gateway.worker_health.update_peer("g2", (), (), {"a": 0})
+    await simulation.clock.advance(2_000)
+    assert simulation.orders() == []
+
+
 async def test_owners_reach_workers_through_other_gateways(simulation):
     """Guards against members of a group that no longer serve.
 
