Leave a former group in each attempt to join another one

A worker could still be in two groups at once (rule TWO): an order to join that got no answer was sent again and accepted, and its first copy arrived seconds later, after the worker had left the group because its head could not be reached. Fence and epoch of that copy are those that the worker has seen, so it was back in a group whose head stood still, and then joined the next one.

Change: a member whose former head can't be told leaves and joins in one attempt, and leaves again in each further one. Heads still leave before any member joins.

--- a/oleanderbay/gateway/formation.py
+++ b/oleanderbay/gateway/formation.py
@@ -1,7 +1,7 @@
 """Forms groups: makes workers their members and opens them."""
 
 import asyncio
-from collections.abc import Awaitable, Container, Iterable
+from collections.abc import Awaitable, Container, Iterable, Mapping
 
 import structlog
 
@@ -144,8 +144,8 @@
         started_ms = self.clock.now_ms()
         try:
             await self._verify_records(members)
-            await self._leave_former_groups(members)
-            await self._join_members(key, planned.model, members)
+            leaving = await self._remove_heads(members)
+            await self._join_members(key, planned.model, members, leaving)
             await self._open_when_ready(
                 key, members, planned.model, planned.ready_ms
             )
@@ -196,57 +196,84 @@
                     f"worker {worker.id} still serves a group"
                 )
 
-    async def _leave_former_groups(self, members: list[workers.Worker]) -> None:
-        """Ends the former groups of the members, or their membership in them.
+    async def _remove_heads(
+        self, members: list[workers.Worker]
+    ) -> dict[str, Key]:
+        """Makes the heads of the members' former groups leave those groups.
 
-        What this gateway knows of a head may be wrong or outdated, so no member
-        joins before a worker has accepted an order to leave. The head leaves if
-        it can be told: a delayed order to open its group then finds none.
-        Otherwise it may still serve, and the member itself leaves.
+        A delayed order to open a former group then finds no group, even if
+        its head joins the new one. This has to happen before any member joins
+        the new group.
+
+        Returns:
+            Former groups whose heads can't be told and may still serve, by the
+            ids of the members that have to leave them themselves.
 
         Raises:
-            fenced_orders.OrderError: A worker did not accept the order.
+            fenced_orders.OrderError: A head did not accept the order.
         """
         groups = self.gateway_state.groups()
-        leaving: dict[str, tuple[workers.Worker, Key]] = {}
-        for member in members:
-            if member.membership is None:
+        heads: dict[str, tuple[workers.Worker, Key]] = {}
+        leaving: dict[str, Key] = {}
+        for worker in members:
+            if worker.membership is None:
                 continue
-            key = (member.membership.group, member.membership.epoch)
+            key = (worker.membership.group, worker.membership.epoch)
             group = groups.get(key)
-            leaver = group.head if group is not None else None
+            head = group.head if group is not None else None
             if (
-                leaver is None
+                head is None
                 or key in self.dissolution.orphaned
-                or self.prober.is_lost(leaver)
+                or self.prober.is_lost(head)
             ):
-                leaver = member
-            leaving[leaver.id] = (leaver, key)
+                leaving[worker.id] = key
+            else:
+                heads[head.id] = (head, key)
 
-        async def leave(worker: workers.Worker, key: Key) -> None:
+        async def leave(head: workers.Worker, key: Key) -> None:
             await self.sender.send(
-                worker,
-                lambda fence: self.orders.leave_group(worker, fence, *key),
+                head,
+                lambda fence: self.orders.leave_group(head, fence, *key),
                 operation="leave",
                 group=key[0],
             )
 
-        await _all_accepted(leave(*item) for item in leaving.values())
+        await _all_accepted(leave(*item) for item in heads.values())
+        return leaving
 
     async def _join_members(
-        self, key: Key, model: table.Model, members: list[workers.Worker]
+        self,
+        key: Key,
+        model: table.Model,
+        members: list[workers.Worker],
+        leaving: Mapping[str, Key],
     ) -> None:
+        """Makes the members join, and some leave their former group first."""
         ids = [worker.id for worker in members]
 
+        async def leave_and_join(
+            worker: workers.Worker, fence: int
+        ) -> interfaces.OrderResult:
+            # Each attempt leaves again: a delayed copy of an earlier join may
+            # have returned the worker to its former group.
+            if worker.id in leaving:
+                left = await self.orders.leave_group(
+                    worker, fence, *leaving[worker.id]
+                )
+                if left not in fenced_orders.ACCEPTED:
+                    return left
+            return await self.orders.join_group(
+                worker, fence, *key, model.name, ids
+            )
+
         async def join(worker: workers.Worker) -> None:
             await self.sender.send(
                 worker,
-                lambda fence: self.orders.join_group(
-                    worker, fence, *key, model.name, ids
-                ),
+                lambda fence: leave_and_join(worker, fence),
                 operation="join",
                 group=key[0],
                 head=ids[0],
+                left=leaving.get(worker.id, ("",))[0],
             )
 
         await _all_accepted(join(worker) for worker in members)
--- a/tests/gateway/test_controller.py
+++ b/tests/gateway/test_controller.py
@@ -460,6 +460,24 @@
     assert simulation.orders() == []
 
 
+async def test_each_attempt_to_join_leaves_the_former_group_again(simulation):
+    """Guards against a worker in two groups at once.
+
+    Between two attempts, a delayed copy of an earlier join may return the
+    worker to a group whose head can't be told to leave.
+    """
+    await make_head_unreachable(simulation)
+    simulation.results["join", "b"] = RESULT.UNKNOWN
+    await simulation.clock.advance(3_000)
+    orders = [
+        operation
+        for operation, worker_id in simulation.orders()
+        if worker_id == "b"
+    ]
+    joins = orders.count("join")
+    assert joins > 1 and orders == ["leave", "join"] * joins
+
+
 async def test_owners_reach_workers_through_other_gateways(simulation):
     """Guards against members of a group that no longer serve.
 
