--- a/tests/gateway/explore_groups.py
+++ b/tests/gateway/explore_groups.py
@@ -23,7 +23,10 @@
         "--trace", action="store_true", help="print all that happened"
     )
     arguments = parser.parse_args()
-    broken = 0
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
+    broken = taken_apart = 0
     accepted = collections.Counter()
     for seed in range(arguments.first, arguments.first + arguments.count):
         rig = asyncio.run(group_faults.play(seed, _configure_logs))
@@ -33,6 +36,7 @@
         if arguments.trace:
             for at_ms, line in rig.trace:
                 print(f"{at_ms:6} {line}")
+        taken_apart += bool(rig.taken_apart)
         for violation in rig.violations:
             broken += 1
             print(
@@ -40,7 +44,10 @@
                 f" {violation.text}",
                 flush=True,
             )
-    print(f"{arguments.count} plays, {broken} broken rules, {dict(accepted)}")
+    print(
+        f"{arguments.count} plays, {broken} broken rules, {taken_apart} plays"
+        f" with a serving group that was taken apart, {dict(accepted)}"
+    )
     sys.exit(1 if broken else 0)
 
 
--- a/tests/gateway/group_faults.py
+++ b/tests/gateway/group_faults.py
@@ -148,13 +148,13 @@
         gateway.reads = True
         gateway.read_from_ms = self.rig.clock.now_ms()
 
-    async def _raise(self, name, values):
+    async def _raise(self, name, values, longest_ms=4_000):
         setattr(self.rig, name, self.rng.choice(values))
-        await self._wait(1_000, 4_000)
+        await self._wait(1_000, longest_ms)
         setattr(self.rig, name, 0.0)
 
     async def late_orders(self):
-        await self._raise("late_share", (0.1, 0.35))
+        await self._raise("late_share", (0.1, 0.35), 10_000)
 
     async def lost_answers(self):
         await self._raise("lost_share", (0.1, 0.5))
@@ -191,8 +191,9 @@
     Returns:
         The rig after the play.
     """
-    kinds = random.Random(seed).sample(KINDS, random.Random(seed).randint(2, 6))
-    gap_ms = random.Random(seed + 1).choice((300, 700, 1_500))
+    rng = random.Random(seed)
+    kinds = rng.sample(KINDS, rng.randint(2, 6))
+    gap_ms = rng.choice((300, 700, 1_500))
     rig = group_rig.Rig(seed)
     if on_start is not None:
         on_start(rig)
--- a/tests/gateway/group_rig.py
+++ b/tests/gateway/group_rig.py
@@ -10,6 +10,7 @@
 from oleanderbay.gateway import (
     controller,
     demand,
+    dialing,
     domain_ownership,
     health,
     interfaces,
@@ -105,8 +106,10 @@
             or (self.holder == member and generation >= self.generation)
         ):
             self.holder = self.wanted
-        held = frozenset((0,)) if self.holder == member else frozenset()
-        return interfaces.Ownership(self.generation, held)
+        held = member == self.holder == self.wanted
+        return interfaces.Ownership(
+            self.generation, frozenset((0,)) if held else frozenset()
+        )
 
     async def leave(self, member):
         if self.members.pop(member, None) is not None:
@@ -254,7 +257,7 @@
 
     async def close_group(self, worker, fence, group, epoch, abrupt):
         return await self._order(
-            "close", worker, fence, group=group, epoch=epoch
+            "close", worker, fence, group=group, epoch=epoch, abrupt=abrupt
         )
 
     async def leave_group(self, worker, fence, group, epoch):
@@ -309,6 +312,7 @@
         late_record_share: Share of the records that reach the store only after
             newer ones.
         violations: What broke a rule.
+        taken_apart: Orders to leave that ended a whole group that served.
         trace: What happened, with the time.
     """
 
@@ -325,6 +329,7 @@
         self.timeout_share = 0.0
         self.late_record_share = 0.0
         self.violations = []
+        self.taken_apart = 0
         self.trace = []
         self.tasks = []
         self.workers = {}
@@ -380,11 +385,18 @@
         self.note("kill", gateway.name)
 
     def reaches(self, gateway, worker):
-        """Whether a gateway and a worker reach each other."""
-        return (
-            worker.alive
-            and not worker.cut
-            and worker.id not in gateway.cut_from
+        """Whether a gateway reaches a worker, by itself or if allowed to.
+
+        Tasks that `connecting_to` allows it may ask any other gateway.
+        """
+        if not worker.alive or worker.cut:
+            return False
+        others = (
+            self.gateways.values() if dialing._TARGET.get() is not None else ()
+        )
+        return any(
+            one.alive and worker.id not in one.cut_from
+            for one in (gateway, *others)
         )
 
     def times_out(self):
@@ -404,8 +416,6 @@
         if not self.reaches(gateway, worker):
             await gateway.clock.sleep_ms(CONNECT_TIMEOUT_MS)
             return RESULT.UNREACHABLE
-        if worker.born_ms != record.started_ms:
-            return RESULT.REFUSED
         drawn = self.rng.random()
         if drawn < self.late_share:
             self.run(self._carry_out_late(worker, operation, fence, arguments))
@@ -420,9 +430,8 @@
         return result
 
     async def _carry_out_late(self, worker, operation, fence, arguments):
-        born_ms = worker.born_ms
         await self.clock.sleep_ms(self.rng.randint(2_000, 12_000))
-        if worker.alive and worker.born_ms == born_ms:
+        if worker.alive:
             result = worker.obey(operation, fence, **arguments)
             self.note("late", operation, worker.id, arguments, result.value)
 
@@ -483,6 +492,16 @@
                 f" {worker.group.group}",
             )
 
+    def check_leave(self, worker):
+        """Counts an order that ends a whole group that serves."""
+        self.update_stalls()
+        head = self.workers[worker.members[0]]
+        key = (worker.group.group, worker.group.epoch)
+        if head.in_group(*key) and head.serves() and head.stalled_ms < 0:
+            self.taken_apart += not any(
+                self.workers[member].draining for member in head.members
+            )
+
     def check_open(self, head):
         """Checks that all members of a group have been ready in it."""
         for member in head.members:
--- a/tests/gateway/group_workers.py
+++ b/tests/gateway/group_workers.py
@@ -97,16 +97,23 @@
 
     def serves(self):
         """Whether it is the head of a group and does not count as broken."""
-        if not self.alive or self.group is None or self.group.rank:
-            return False
-        if self.group.state not in (STATE.OPEN, STATE.CLOSING):
-            return False
-        return not (
-            self.stalled_ms >= 0
-            and self.rig.clock.now_ms() - self.stalled_ms >= STALL_MS
+        return (
+            self.alive
+            and self.group is not None
+            and not self.group.rank
+            and self.group.state in (STATE.OPEN, STATE.CLOSING)
         )
 
-    def obey(self, operation, fence, group="", epoch=0, model="", members=()):
+    def obey(
+        self,
+        operation,
+        fence,
+        group="",
+        epoch=0,
+        model="",
+        members=(),
+        abrupt=True,
+    ):
         """Carries out an order and returns the result."""
         if fence < self.fence:
             return RESULT.FENCED
@@ -121,6 +128,7 @@
         if not same:
             return RESULT.DONE if operation == "leave" else RESULT.CONFLICT
         if operation == "leave":
+            self.rig.check_leave(self)
             self._set(None)
             return RESULT.DONE
         if self.group.rank or self.group.state in (
@@ -137,9 +145,23 @@
         if self.group.state is STATE.READY:
             return RESULT.DONE
         self.sequence += 1
-        self._set_state(STATE.READY)
+        if abrupt:
+            self._set_state(STATE.READY)
+        elif self.group.state is STATE.OPEN:
+            self._set_state(STATE.CLOSING)
+            self.rig.run(self._finish(self.group))
         return RESULT.BEGUN
 
+    async def _finish(self, group):
+        await self.rig.clock.sleep_ms(self.rig.rng.randint(100, 2_000))
+        if self.group is group and self.alive:
+            self._set_state(STATE.READY)
+
+    def break_up(self):
+        """Ends the service of a head that has stood still for too long."""
+        self.stalled_ms = -1
+        self._set_state(STATE.BROKEN)
+
     def _set(self, group):
         self.group = group
         self.sequence += 1
@@ -212,3 +234,5 @@
             head.stalled_ms = -1
         elif head.stalled_ms < 0:
             head.stalled_ms = now_ms
+        elif now_ms - head.stalled_ms >= STALL_MS:
+            head.break_up()
--- a/tests/gateway/test_group_interleavings.py
+++ b/tests/gateway/test_group_interleavings.py
@@ -9,7 +9,9 @@
 
 # Workers were told to join another group because of a record, a peer's word or
 # a memory of the owner, while the head of their group served.
-@pytest.mark.parametrize("seed", [1, 78, 79, 159, 163, 199, *range(2, 14)])
+@pytest.mark.parametrize(
+    "seed", [23, 83, 174, 185, 191, 217, 231, 241, 263, *range(1, 10)]
+)
 async def test_no_worker_joins_a_group_while_its_former_group_serves(seed):
     rig = await group_faults.play(seed)
     assert not rig.violations
