Split the tests of group duties by what they test

Tests of taking workers from their groups stand in test_dissolution.py, the simulated controller that both use in group_simulation.py, and the gateways of the rig in group_gateways.py.

--- a/tests/gateway/group_faults.py
+++ b/tests/gateway/group_faults.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from tests.gateway import group_rig
+from tests.gateway import group_gateways, group_rig
 
 KINDS = (
     "crash",
@@ -171,7 +171,7 @@
         self.rig.assignments.down = False
 
     async def demand(self):
-        for model in group_rig.MODELS:
+        for model in group_gateways.MODELS:
             wanted = self.rng.choice((0, 2, 6, 12))
             for gateway in self._gateways():
                 current = gateway.demand._in_progress[model.name]
--- a/tests/gateway/test_group_interleavings.py
+++ b/tests/gateway/test_group_interleavings.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.gateway import group_faults, group_rig
+from tests.gateway import group_faults, group_gateways, group_rig
 
 
 # Workers were told to join another group because of a record, a peer's word or
@@ -34,7 +34,7 @@
         await rig.clock.advance(8_000)
         rig.begin_traffic()
         (gateway,) = rig.gateways.values()
-        for model in group_rig.MODELS:
+        for model in group_gateways.MODELS:
             for _ in range(8):
                 gateway.demand.record_start(model.name)
         head = next(w for w in rig.workers.values() if w.serves())
