Wait in a planned stop for the first request of new connections

What callers saw: a reset of a connection that the gateway had just accepted.

Cause: a stop accepts what has connected until its listener closes, then closes all connections that have no request. A caller that connected in the last moment sends its request some turns of the event loop, or a round trip, later, into a connection that is closed. The log of the failure shows it: no connection at "listener closes", and "connections close" 5 ms later, while six callers had connected.

Change: after its listener has closed, a stop keeps connections that have carried no request yet for up to 500 ms. The entries had the same fault and wait in the same way.

Evidence: a caller that connects before the stop and sends 150 ms later: reset before, answered with 200 now, for gateways and entries.

Why it works: no connection comes after the listener has closed, so that the wait has one fixed end, and it ends early once every connection has carried a request. It stays within the time that the stop gives requests.

--- a/oleanderbay/connection/aiohttp_internals.py
+++ b/oleanderbay/connection/aiohttp_internals.py
@@ -207,6 +207,13 @@
         """Whether any connection has a request without an answer."""
         return any(connection.has_request for connection in self.protocols)
 
+    def awaits_first_request(self) -> bool:
+        """Whether any connection has not carried a request yet."""
+        return any(
+            connection.parsed_count == 0 and not connection.is_closing
+            for connection in self.protocols
+        )
+
     def close_if_idle(self) -> bool:
         """Closes all connections unless one is busy; returns whether it did.
 
@@ -292,6 +299,11 @@
         """Number of bytes of responses that the socket has not taken yet."""
         return self._output.get_write_buffer_size()
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection is closed or being closed."""
+        return self._output.is_closing()
+
     @property
     def upgraded(self) -> bool:
         """Whether the parser has stopped at an upgrade request."""
--- a/oleanderbay/gateway/listener.py
+++ b/oleanderbay/gateway/listener.py
@@ -29,6 +29,9 @@
 KEEPALIVE_S = 600
 BACKLOG = 1_024
 DRAIN_POLL_MS = 50
+# Time in which callers that connected just before the listener closed send
+# their first request.
+FIRST_REQUEST_MS = 500
 # Time in which refusals at the end of a planned stop reach their callers.
 REFUSAL_MS = 200
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -223,7 +226,11 @@
         Returns:
             Whether that was in time.
         """
-        while not server.close_if_idle():
+        first_request_ms = self.clock.now_ms() + FIRST_REQUEST_MS
+        while (
+            server.awaits_first_request()
+            and self.clock.now_ms() < first_request_ms
+        ) or not server.close_if_idle():
             if self.clock.now_ms() >= end_ms:
                 return False
             await self.clock.sleep_ms(DRAIN_POLL_MS)
--- a/oleanderbay/process/serving/callers.py
+++ b/oleanderbay/process/serving/callers.py
@@ -23,6 +23,9 @@
 BACKLOG = 1_024
 # How long a stop waits for the rest of a head, and how often it looks.
 PARTIAL_HEAD_MS = 5_000
+# Time in which callers that connected just before the listener closed send
+# their first request.
+FIRST_REQUEST_MS = 500
 DRAIN_STEP_MS = 50
 # How long a stop waits for a caller that takes nothing of its answer.
 STALLED_ANSWER_MS = 30_000
@@ -108,6 +111,7 @@
         await sockets.stop_accepting(self.sockets, self.server)
         moved_ms = self.clock.now_ms()
         until_ms = moved_ms + PARTIAL_HEAD_MS
+        first_request_ms = moved_ms + FIRST_REQUEST_MS
         unsent_bytes = 0
         while not is_over():
             now_ms = self.clock.now_ms()
@@ -119,6 +123,10 @@
                 self.in_progress
                 or (left_bytes and now_ms - moved_ms < STALLED_ANSWER_MS)
                 or (self.server.is_busy() and now_ms < until_ms)
+                or (
+                    self.server.awaits_first_request()
+                    and now_ms < first_request_ms
+                )
             ):
                 return
             await self.clock.sleep_ms(DRAIN_STEP_MS)
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -90,6 +90,32 @@
             assert (await _read_all(sock)).startswith(b"HTTP/1.1 200")
 
 
+# A caller that connected just before the listener closed sent its request into
+# a connection that the stop had closed as idle.
+async def test_a_stop_answers_the_first_request_of_a_new_connection():
+    async with listener_harness.running_listener() as harness:
+        callers = [_send_at_once(harness.port, b"") for _ in range(3)]
+        stop = asyncio.create_task(_stop(harness))
+        await asyncio.sleep(0.15)
+        for sock in callers:
+            sock.send(listener_harness.GET)
+        for sock in callers:
+            assert (await _read_all(sock)).startswith(b"HTTP/1.1 200")
+        await stop
+
+
+# A stop must not wait for its whole limit if a caller never sends a request.
+async def test_a_stop_waits_a_short_time_for_first_requests():
+    async with listener_harness.running_listener() as harness:
+        sock = _send_at_once(harness.port, b"")
+        await parts.wait_until(
+            lambda: harness.listeners._caller_server.connections
+        )
+        async with asyncio.timeout(2):
+            await _stop(harness, limit_ms=20_000)
+        assert await _read_all(sock) == b""
+
+
 async def test_a_stop_answers_a_request_that_is_not_read_yet():
     """The next request on a kept connection may be in the socket's buffer."""
     async with listener_harness.running_listener() as harness:
--- a/tests/process/serving/test_callers.py
+++ b/tests/process/serving/test_callers.py
@@ -377,6 +377,30 @@
         part_writer.close()
 
 
+# A caller that connected just before the listener closed sent its request into
+# a connection that the stop had closed as idle.
+async def test_a_stop_answers_the_first_request_of_a_new_connection():
+    async with (
+        serving_path.running() as path,
+        serving_path.plain_service(path),
+    ):
+        host, port = path.address.split(":")
+        sock = socket.create_connection((host, int(port)))
+        sock.setblocking(False)
+
+        async def stop():
+            await path.served.listener.drain(lambda: False)
+            await path.served.listener.on_stop()
+
+        stopping = asyncio.create_task(stop())
+        await path.clock.sleep_ms(150)
+        reader, writer = await asyncio.open_connection(sock=sock)
+        writer.write(PLAIN_REQUEST)
+        assert (await _read_to_end(reader)).startswith(b"HTTP/1.1 200")
+        await stopping
+        writer.close()
+
+
 async def test_a_stop_does_not_wait_for_a_head_without_end():
     """A caller that sends half a head must not hold up the stop."""
     async with serving_path.running() as path:
