Keep a connection open until its last answer has been received

What callers saw: a caller that sends its next request behind an answer with which the connection closes, and reads late, got a part of that answer and a reset.

Cause: the socket was closed once the kernel had the answer. Unread input at the close, or input after it, makes the kernel send a reset and discard what it has not delivered. Only refusals of malformed requests ended the output first.

Change: after the last answer of a connection, gateways and entries end the output and discard input until the caller closes, for 2 s after the caller has acknowledged the answer, and for at most 30 s without progress. A connection that lingers is no request; it counts as busy only while its answer is not acknowledged, as before.

Evidence: the new test sends a request behind each part that it reads. Before, both its cases (the gateway closes, the caller asked for it) failed with a reset; now the whole answer arrives and no second request is run.

Why it works: nothing is unread in the socket when it closes, and it closes only after the caller has acknowledged all bytes or has taken none for 30 s.

--- a/oleanderbay/connection/aiohttp_internals.py
+++ b/oleanderbay/connection/aiohttp_internals.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
@@ -23,6 +24,11 @@
 
 from oleanderbay.connection import permissions, sockets
 
+# How long a connection stays open after its last response has been delivered,
+# so that a peer that is still sending can read it, and how long it waits for a
+# peer that reads nothing.
+LINGER_S = 2
+LINGER_STALL_S = 30
 # Default of the `exc_cause` parameter of `set_exception`.
 NO_CAUSE = helpers._EXC_SENTINEL
 # Undocumented names used below, by the class that defines them.
@@ -230,15 +236,56 @@
 class ServerProtocol(web.RequestHandler):
     """The server side of one connection."""
 
-    __slots__ = ("_output",)
+    __slots__ = ("_linger", "_output")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts serving."""
         # aiohttp forgets the transport when it closes the connection, while
         # the transport still sends what is in its write buffer.
         self._output = cast(asyncio.Transport, transport)
+        self._linger: asyncio.Future[None] | None = None
         super().connection_made(transport)
 
+    async def linger(self) -> None:
+        """Ends the output, and discards input until the peer has received it.
+
+        Closing a socket with unread input resets the connection, and so does
+        input that comes after the close. A reset discards what the peer has
+        not received. This task is cancelled if the peer closes the connection.
+        """
+        if self._output.is_closing() or not self._output.can_write_eof():
+            return
+        loop = asyncio.get_running_loop()
+        self.close()
+        self._output.write_eof()
+        self._linger = loop.create_future()
+        left_bytes = self._undelivered_bytes
+        stalled_s = loop.time() + LINGER_STALL_S
+        while not self._linger.done():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LINGER_S):
+                    await self._linger
+            previous_bytes, left_bytes = left_bytes, self._undelivered_bytes
+            if left_bytes < previous_bytes:
+                stalled_s = loop.time() + LINGER_STALL_S
+            if not left_bytes or loop.time() >= stalled_s:
+                return
+
+    async def shutdown(self, timeout: float | None = 15.0) -> None:
+        """Closes the connection after its requests in progress."""
+        if self._linger is not None and not self._linger.done():
+            self._linger.set_result(None)
+        await super().shutdown(timeout)
+
+    @property
+    def _undelivered_bytes(self) -> int:
+        """Number of bytes of responses that the peer has not acknowledged."""
+        if self._output.is_closing():
+            return self.unsent_bytes
+        return self.unsent_bytes + sockets.count_unacknowledged(
+            self._output.get_extra_info("socket")
+        )
+
     @property
     def waiting_for_request(self) -> bool:
         """Whether no request is queued or being handled."""
@@ -252,7 +299,7 @@
     @property
     def handling_request(self) -> bool:
         """Whether a request is being handled."""
-        return bool(self._request_in_progress)
+        return bool(self._request_in_progress) and self._linger is None
 
     @property
     def has_partial_head(self) -> bool:
@@ -266,6 +313,7 @@
         # next turn of the event loop on; until then, nothing waits for one.
         return self.handling_request or (
             not self._output.is_closing()
+            and self._linger is None
             and (
                 not self.waiting_for_request
                 or self.has_partial_head
@@ -282,17 +330,7 @@
         that come after a close reset the connection, which discards the part
         of an answer that its caller has not received yet.
         """
-        return (
-            self.has_request
-            or self.unsent_bytes > 0
-            or (
-                not self._output.is_closing()
-                and sockets.count_unacknowledged(
-                    self._output.get_extra_info("socket")
-                )
-                > 0
-            )
-        )
+        return self.has_request or self._undelivered_bytes > 0
 
     @property
     def unsent_bytes(self) -> int:
--- a/oleanderbay/connection/http.py
+++ b/oleanderbay/connection/http.py
@@ -280,6 +280,18 @@
             self._has_partial_head = False
             _, self._body = self.last_parsed
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Ends a response; lingers if the connection closes after it."""
+        result = await super().finish_response(request, resp, start_time)
+        if not result[1] and not resp.keep_alive and self._body.is_eof():
+            await self.linger()
+        return result
+
     def handle_error(
         self,
         request: web.BaseRequest,
--- a/oleanderbay/gateway/caller_server.py
+++ b/oleanderbay/gateway/caller_server.py
@@ -1,7 +1,6 @@
 """HTTP server for callers, with limits on time and size."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 from typing import Any
 
@@ -22,9 +21,6 @@
 # Upper bound for the parser's buffers, which aiohttp reads once per connection.
 # The configured limits are lower.
 MAX_PARSER_BYTES = 1 << 20
-# How long a connection stays open after a refusal, so that a caller that is
-# still sending can read the refusal.
-LINGER_S = 2
 HEAD_END = b"\r\n\r\n"
 
 log = structlog.get_logger()
@@ -52,7 +48,7 @@
             access_log=None,
             handler_cancellation=True,
             keepalive_timeout=AIOHTTP_KEEPALIVE_S,
-            lingering_time=LINGER_S,
+            lingering_time=aiohttp_internals.LINGER_S,
             max_line_size=MAX_PARSER_BYTES,
             max_field_size=MAX_PARSER_BYTES,
             max_headers=MAX_PARSER_BYTES // len(HEAD_END),
@@ -126,7 +122,6 @@
         "_head_bytes",
         "_head_started",
         "_last_bytes",
-        "_linger",
         "_server",
     )
 
@@ -146,7 +141,6 @@
         self._head_started = False
         self._head_bytes = 0
         self._failed = False
-        self._linger: asyncio.Future[None] | None = None
 
     @property
     def has_partial_head(self) -> bool:
@@ -164,12 +158,6 @@
         self._server.head_since_ms.pop(self, None)
         super().connection_lost(exc)
 
-    async def shutdown(self, timeout: float | None = 15.0) -> None:
-        """Closes the connection after its requests in progress."""
-        if self._linger is not None and not self._linger.done():
-            self._linger.set_result(None)
-        await super().shutdown(timeout)
-
     def refuse_head(self, status: int, message: str) -> None:
         """Refuses an incomplete request, after responses to earlier ones."""
         self._server.head_since_ms.pop(self, None)
@@ -271,17 +259,10 @@
             self.has_queued_requests and resp.keep_alive
         ):
             return result
-        if not self._failed:
+        if resp.keep_alive and not self._failed:
             self._restart_timer()
-        elif self.transport is not None and self.transport.can_write_eof():
-            # Closing a socket with unread data resets the connection, which
-            # can discard the refusal before the caller reads it. If the caller
-            # closes the connection, this task is cancelled.
-            self.transport.write_eof()
-            self._linger = asyncio.get_running_loop().create_future()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(LINGER_S):
-                    await self._linger
+        elif not result[1]:
+            await self.linger()
         return result
 
     def handle_error(
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -278,7 +278,7 @@
     await caller_response.send_complete(200, multidict.CIMultiDict(), ANSWER)
 
 
-async def _leave_answer_unsent(harness):
+async def _leave_answer_unsent(harness, request=listener_harness.GET):
     """Returns a caller whose answer waits in the gateway's write buffer."""
     harness.pipeline_harness.pipeline.run = _answer
     server = harness.listeners._caller_server
@@ -291,7 +291,7 @@
     connection.transport.get_extra_info("socket").setsockopt(
         socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096
     )
-    await asyncio.get_running_loop().sock_sendall(sock, listener_harness.GET)
+    await asyncio.get_running_loop().sock_sendall(sock, request)
     await parts.wait_until(connection.transport.get_write_buffer_size)
     assert not connection.handling_request
     return sock
@@ -315,6 +315,34 @@
             await stop
 
 
+# A caller that had sent its next request behind an answer with which its
+# connection closes received a part of that answer and a reset.
+@pytest.mark.parametrize("closed_by", ["gateway", "caller"])
+async def test_input_behind_the_last_answer_does_not_cut_it_off(closed_by):
+    async with listener_harness.running_listener() as harness:
+        harness.listeners.leaving = closed_by == "gateway"
+        request = listener_harness.GET
+        if closed_by == "caller":
+            request = request.replace(
+                b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"
+            )
+        caller = await _leave_answer_unsent(harness, request)
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(caller, listener_harness.GET)
+        await asyncio.sleep(0.05)
+        received = b""
+        async with asyncio.timeout(20):
+            while data := await loop.sock_recv(caller, 2_000):
+                received += data
+                await loop.sock_sendall(caller, listener_harness.GET)
+        assert received.endswith(ANSWER)
+        assert received.count(b"HTTP/1.1 ") == 1
+        caller.close()
+        await parts.wait_until(
+            lambda: not harness.listeners._caller_server.connections
+        )
+
+
 # A caller that never read took the time of refusals too, with which the end of
 # the process came close to its kill.
 async def test_a_stop_ends_in_time_although_a_caller_does_not_read():
