Try upgrades and rollbacks of gateways under load

What was missing: nothing showed that gateways of two versions keep the promises side by side.

Change: `make upgrade COMMIT=...` (bench.upgrade_trial) takes a version from the history into a folder of its own, starts gateways of it with the command and the settings template of its deploy file, replaces them one by one by the working tree under load, and goes back. In each half a configuration changes, a plain worker and a worker of groups leave, and the demand moves from one model to another. Callers and workers record what they see: lost, doubled and foreign answers, joins from groups that serve, groups that open without a member, requests at workers that have left, answers that are not whole, the longest time without an answer and refusals by kind. Exit code 1 if a rule is broken, 2 with one line if the trial can't be made.

The rendering of settings templates moves from the tests to the stand-ins, since the trial needs it too.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := $(VENV)/bin
 PYTHON ?= python3
 
-.PHONY: demo test lint counts unit bench bench-check report failures binary schema lock format
+.PHONY: demo test lint counts unit bench bench-check report failures binary upgrade schema lock format
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -46,6 +46,10 @@
 binary: $(VENV)/.installed
 	$(BIN)/python -m bench.binary
 
+# Replaces gateways of an earlier version under load; needs COMMIT.
+upgrade: $(VENV)/.installed
+	$(BIN)/python -m bench.upgrade_trial $(COMMIT) $(OPTIONS)
+
 # The generated code is committed; run this only after changing the schema.
 schema: $(VENV)/.installed
 	$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. \
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -12,6 +12,7 @@
 import socket
 import sys
 import tempfile
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import aiohttp
@@ -47,9 +48,26 @@
     async def start(self, name: str, *arguments: str) -> None:
         """Starts `oleanderbay` with arguments; its output goes to a log."""
         self._commands[name] = arguments
+        await self.start_command(name, (*COMMAND, *arguments))
+
+    async def start_command(
+        self,
+        name: str,
+        command: Sequence[str],
+        environment: Mapping[str, str] | None = None,
+        folder: pathlib.Path | None = None,
+    ) -> None:
+        """Starts any command; its output goes to a log.
+
+        Args:
+            name: Name of the process.
+            command: Program and arguments.
+            environment: Environment of the process; by default this one's.
+            folder: Working directory; by default this process's.
+        """
         output = (self.directory / f"{name}.log").open("ab")
         self.by_name[name] = await asyncio.create_subprocess_exec(
-            *COMMAND, *arguments, stdout=output, stderr=output
+            *command, stdout=output, stderr=output, env=environment, cwd=folder
         )
         output.close()
 
--- a/bench/stop_callers.py
+++ b/bench/stop_callers.py
@@ -29,12 +29,14 @@
         path: Path with query.
         deadline_ms: Time for which the caller waits.
         body: Body that is sent.
+        headers: Further headers.
     """
 
     name: str
     path: str
     deadline_ms: int
     body: bytes = b"prompt"
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 def _stream(events: int, gap_ms: int, deadline_ms: int) -> Kind:
@@ -63,6 +65,7 @@
         ended_ms: When the answer was complete or the connection ended.
         status: HTTP status; 0 if there is no head.
         complete: Whether the answer is complete.
+        answered_id: Request id that the answer states; empty for none.
     """
 
     id: str
@@ -75,6 +78,7 @@
     status: int = 0
     complete: bool = False
     body: bytes = b""
+    answered_id: str = ""
 
 
 class IncompleteError(Exception):
@@ -118,7 +122,8 @@
             f"POST {kind.path} HTTP/1.1\r\nHost: api\r\n"
             f"{names.REQUEST_ID}: {sent.id}\r\n"
             f"{names.DEADLINE}: {kind.deadline_ms}\r\n"
-            f"Content-Length: {len(kind.body)}\r\n\r\n"
+            + "".join(f"{name}: {value}\r\n" for name, value in kind.headers)
+            + f"Content-Length: {len(kind.body)}\r\n\r\n"
         )
         try:
             self.writer.write(head.encode() + kind.body)
@@ -137,6 +142,7 @@
             for name, _, value in (line.partition(":") for line in lines[1:-2])
         }
         self.closing = headers.get("connection") == "close"
+        sent.answered_id = headers.get(names.REQUEST_ID.lower(), "")
         if headers.get("transfer-encoding") != "chunked":
             length = int(headers["content-length"])
             sent.body = await self._read(length, sent.slow, clock)
--- /dev/null
+++ b/bench/upgrade_fleet.py
@@ -0,0 +1,354 @@
+"""Gateways of two versions, with a store, plain workers and groups."""
+
+import asyncio
+import json
+import os
+import pathlib
+from collections.abc import Iterator
+from typing import Any
+
+from bench import stop_callers, stop_fleet, upgrade_builds
+from oleanderbay.platform import names
+from oleanderbay.process import clock as clocks
+from oleanderbay.standins import group_worker, settings_template
+
+PLAIN_SERVICE = "desk"
+GROUP_SERVICE = "chat"
+MODELS = ("small", "large")
+GROUP_SIZE = 2
+DOMAINS = 2
+WORKERS_PER_DOMAIN = 4
+PLAIN_WORKERS = 10
+# A worker serves for this time after its entry says that it leaves, and some
+# time longer for what it runs.
+DRAIN_MS = 2_000
+LEAVE_LIMIT_MS = 8_000
+ROUTE = {
+    "host": "api",
+    "timeout_ms": 10_000,
+    "target_latency_ms": 1_000,
+    "max_attempts": 1,
+}
+STREAM = {**ROUTE, "kind": "streaming", "target_gap_ms": 300}
+CONFIGURATION: dict[str, Any] = {
+    "routes": [
+        {
+            **STREAM,
+            "name": "stream",
+            "path_prefix": "/stream/",
+            "service": PLAIN_SERVICE,
+        },
+        {
+            **STREAM,
+            "name": "model",
+            "path_prefix": "/stream/model/",
+            "service": GROUP_SERVICE,
+        },
+        {
+            **ROUTE,
+            "name": "post",
+            "path_prefix": "/post/",
+            "kind": "non_idempotent",
+            "service": PLAIN_SERVICE,
+        },
+        {
+            **ROUTE,
+            "name": "look",
+            "path_prefix": "/look/",
+            "kind": "idempotent",
+            "service": PLAIN_SERVICE,
+        },
+    ],
+    "services": [
+        {"name": PLAIN_SERVICE, "max_connections": 298},
+        {
+            "name": GROUP_SERVICE,
+            "engine": {
+                "slots": 4,
+                "loads_per_s": 100,
+                "models": [
+                    {"name": name, "size": GROUP_SIZE, "share": 0.5}
+                    for name in MODELS
+                ],
+            },
+        },
+    ],
+}
+
+
+class StartError(Exception):
+    """A gateway can't be started; the message says why."""
+
+
+class UpgradeFleet(stop_fleet.Fleet):
+    """A fleet whose gateways each run one of two versions.
+
+    Attributes:
+        builds: Version that each gateway starts with next, by host.
+        running: Version that each gateway was started with, by host.
+        violations: Rules that workers saw broken, one line each.
+        drained_ms: When a worker's entry said that it leaves, by its id.
+    """
+
+    def __init__(
+        self,
+        options: stop_fleet.Options,
+        clock: clocks.Clock,
+        build: upgrade_builds.Build,
+    ) -> None:
+        super().__init__(options, clock)
+        self.builds = dict.fromkeys(self.hosts, build)
+        self.running: dict[str, upgrade_builds.Build] = {}
+        self.violations: list[str] = []
+        self.drained_ms: dict[str, int] = {}
+        self.version = 0
+        self._numbers: Iterator[int] = iter(range(10_000))
+        self._left: list[group_worker.GroupWorker] = []
+        self.workers = [
+            self._make_worker(PLAIN_SERVICE, "") for _ in range(PLAIN_WORKERS)
+        ] + [
+            self._make_worker(GROUP_SERVICE, f"d{domain}")
+            for domain in range(DOMAINS)
+            for _ in range(WORKERS_PER_DOMAIN)
+        ]
+
+    async def configure(self, version: int) -> None:
+        """Writes a configuration; odd versions have one more route."""
+        self.version = version
+        routes = list(CONFIGURATION["routes"])
+        if version % 2:
+            routes.append(
+                {
+                    **STREAM,
+                    "name": "more",
+                    "path_prefix": "/stream/more/",
+                    "service": PLAIN_SERVICE,
+                }
+            )
+        body = {**CONFIGURATION, "version": version, "routes": routes}
+        await self.store.put(
+            names.CONFIGURATION_TOPIC,
+            names.CONFIGURATION_KEY,
+            json.dumps(body).encode(),
+        )
+
+    async def start_gateway(self, host: str) -> None:
+        """Starts a gateway with the version that it is to have."""
+        build = self.builds[host]
+        path = self.processes.directory / f"{host}.json5"
+        path.write_text(
+            settings_template.render(build.template, self._values(host))
+        )
+        self.starts[host] += 1
+        self.started.discard(host)
+        self.running[host] = build
+        await self.processes.start_command(
+            host,
+            build.command,
+            {**build.environment, "OLEANDERBAY_CONFIG": str(path)},
+            build.folder,
+        )
+
+    async def wait_ready(self, host: str) -> None:
+        """Waits until a gateway is ready.
+
+        Raises:
+            StartError: Its process has ended, or it is not ready after 30 s.
+        """
+        ready = asyncio.ensure_future(super().wait_ready(host))
+        process = self.processes.by_name[host]
+        ended = asyncio.ensure_future(process.wait())
+        try:
+            await asyncio.wait(
+                (ready, ended), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not ready.done():
+                raise StartError(f"{host} ended: {self._last_line(host)}")
+            try:
+                await ready
+            except TimeoutError:
+                raise StartError(f"{host} does not become ready") from None
+        finally:
+            for task in (ready, ended):
+                task.cancel()
+
+    async def replace_worker(self, service: str) -> None:
+        """Makes a worker leave as planned and starts another in its place."""
+        leaving = self.rng.choice(
+            [w for w in self.workers if w.service == service and not w.draining]
+        )
+        added = self._make_worker(service, leaving.domain)
+        await added.start()
+        self.workers.append(added)
+        leaving.draining = True
+        await self._write_entry(leaving)
+        self.drained_ms[leaving.id] = self.clock.now_ms()
+        until_ms = self.clock.now_ms() + LEAVE_LIMIT_MS
+        await self.clock.sleep_ms(DRAIN_MS)
+        while leaving.in_progress and self.clock.now_ms() < until_ms:
+            await self.clock.sleep_ms(50)
+        self.workers.remove(leaving)
+        self._left.append(leaving)
+        await self.store.put(names.WORKERS_TOPIC, leaving.id, b"")
+        await leaving.close()
+
+    def all_workers(self) -> list[group_worker.GroupWorker]:
+        """Returns the workers, also those that have left."""
+        return self.workers + self._left
+
+    def began(self) -> set[str]:
+        """Returns the ids of all requests that began to run."""
+        return {
+            execution.request_id
+            for worker in self.all_workers()
+            for execution in worker.executions
+        }
+
+    def open_groups(self) -> list[str]:
+        """Returns the names of the groups that serve."""
+        return [
+            worker.group["name"]
+            for worker in self.workers
+            if worker.group is not None and worker.group["state"] == "open"
+        ]
+
+    def _make_worker(
+        self, service: str, domain: str
+    ) -> group_worker.GroupWorker:
+        number = next(self._numbers)
+        worker = group_worker.GroupWorker(
+            f"w{number}", service, f"z{number % 3}", domain
+        )
+        worker.began = lambda execution: self._note_begin(worker, execution)
+        worker.ended = self._record_end
+        worker.obeyed = lambda *order: self._note_order(worker, *order)
+        return worker
+
+    def _note_begin(
+        self,
+        worker: group_worker.GroupWorker,
+        execution: group_worker.Execution,
+    ) -> None:
+        drained_ms = self.drained_ms.get(worker.id)
+        if drained_ms is None:
+            return
+        late_ms = self.clock.now_ms() - drained_ms - DRAIN_MS
+        if late_ms > 0:
+            self.violations.append(
+                f"DRAIN: {execution.request_id} reached {worker.id}"
+                f" {late_ms} ms too late"
+            )
+
+    def _note_order(
+        self,
+        worker: group_worker.GroupWorker,
+        order: dict[str, Any],
+        status: int,
+        group: dict[str, Any] | None,
+        members: tuple[str, ...],
+    ) -> None:
+        if status >= 400:
+            return
+        if order["operation"] == "join" and group is not None:
+            head = self._worker(members[0])
+            serving = group if head is worker else head and head.group
+            if (
+                order["group"] != group["name"]
+                and serving
+                and serving["name"] == group["name"]
+                and serving["epoch"] == group["epoch"]
+                and serving["state"] == "open"
+            ):
+                self.violations.append(
+                    f"TWO: {worker.id} of {group['name']}, which serves, joins"
+                    f" {order['group']}"
+                )
+        if order["operation"] == "open":
+            self._check_members(worker)
+
+    def _check_members(self, head: group_worker.GroupWorker) -> None:
+        assert head.group is not None
+        for name in head.members:
+            member = self._worker(name)
+            group = member.group if member else None
+            if (
+                group is None
+                or group["name"] != head.group["name"]
+                or group["epoch"] != head.group["epoch"]
+                or group["state"] == "joining"
+            ):
+                self.violations.append(
+                    f"PARTIAL: {head.group['name']} opens without {name}"
+                )
+
+    def _worker(self, name: str) -> group_worker.GroupWorker | None:
+        return next((w for w in self.workers if w.id == name), None)
+
+    async def _write_entry(self, worker: group_worker.GroupWorker) -> None:
+        body = json.dumps(worker.record()).encode()
+        await self.store.put(names.WORKERS_TOPIC, worker.id, body)
+
+    def _values(self, host: str) -> dict[str, Any]:
+        """Returns what the platform fills into the settings of a gateway."""
+        number = self.hosts.index(host)
+        return {
+            "node": f"g{number}",
+            "zone": f"z{number % 3}",
+            "ip": host,
+            "listen": {
+                "front": f"{host}:{self.ports['callers']}",
+                "ready": f"{host}:{self.ports['readiness']}",
+                "directory": f"{host}:{self.ports['directory']}",
+            },
+            "internal_ports": [self.ports["peers"]],
+            "seeds": [f"{seed}:1" for seed in self.hosts[:3]],
+            "platform": {
+                "address": self.store.address,
+                "parts": stop_fleet.PARTITIONS,
+            },
+            "heartbeat_ms": stop_fleet.HEARTBEAT_MS,
+            "bounds": {"grace_s": self.options.grace_ms // 1_000},
+        }
+
+    def _last_line(self, host: str) -> str:
+        path: pathlib.Path = self.processes.directory / f"{host}.log"
+        lines = path.read_text(errors="replace").strip().splitlines()
+        return lines[-1] if lines else "no output"
+
+
+def available_mb() -> int:
+    """Returns half of the machine's memory, which a trial may use."""
+    pages = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+    return pages // 2 >> 20
+
+
+def kinds(model: str) -> tuple[stop_callers.Kind, ...]:
+    """Returns the kinds of requests while one model is in demand."""
+
+    def stream(name: str, path: str, events: int, **fields: Any) -> Any:
+        return stop_callers.Kind(
+            name=name,
+            path=f"{path}x?events={events}&gap_ms=100&bytes=150",
+            deadline_ms=10_000,
+            **fields,
+        )
+
+    def call(name: str, path: str) -> stop_callers.Kind:
+        return stop_callers.Kind(
+            name=name, path=f"{path}x?gap_ms=60&bytes=800", deadline_ms=2_500
+        )
+
+    model_stream = stream(
+        "stream of a model",
+        "/stream/model/",
+        12,
+        headers=((names.MODEL, model),),
+    )
+    return (
+        stream("short stream", "/stream/", 12),
+        stream("long stream", "/stream/", 30),
+        model_stream,
+        model_stream,
+        call("call that must run once", "/post/"),
+        call("call that may run again", "/look/"),
+    )
--- a/oleanderbay/standins/group_worker.py
+++ b/oleanderbay/standins/group_worker.py
@@ -85,8 +85,11 @@
         at_fault: Member that the head names in a 503; empty for none.
         hold_after: Event after which streams wait for `released`.
         changed: Called after each change of the record.
+        began: Called when a request begins to run.
         ended: Called at the end of each execution, with whether its answer
             is complete.
+        obeyed: Called after each order with the order, the status given and
+            the worker's group and members before it.
     """
 
     def __init__(
@@ -123,7 +126,11 @@
         self.hold_after = -1
         self.released = asyncio.Event()
         self.changed: Callable[[], None] = lambda: None
+        self.began: Callable[[Execution], None] = lambda *_: None
         self.ended: Callable[[Execution, bool], None] = lambda *_: None
+        self.obeyed: Callable[
+            [dict[str, Any], int, dict[str, Any] | None, tuple[str, ...]], None
+        ] = lambda *_: None
         self.group: dict[str, Any] | None = None
         self.members: tuple[str, ...] = ()
         self.model = ""
@@ -153,6 +160,11 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._server.close()
 
+    @property
+    def in_progress(self) -> int:
+        """Number of requests that run."""
+        return len(self._open)
+
     def record(self) -> dict[str, Any]:
         """Returns what the worker writes to the store."""
         return {
@@ -187,8 +199,10 @@
         if self._other(request):
             return self._refusal(421)
         order = await request.json()
+        group, members = self.group, self.members
         status = self._obey(order)
         self.orders.append((order, status))
+        self.obeyed(order, status, group, members)
         self.changed()
         return web.json_response(self.record(), status=status)
 
@@ -277,6 +291,7 @@
             port=self._port(request),
         )
         self.executions.append(execution)
+        self.began(execution)
         self._open.append(request)
         complete = False
         try:
--- a/tests/gateway/template.py
+++ b/tests/gateway/template.py
@@ -1,8 +1,9 @@
-"""Fills in the template of a gateway's settings as the users' platform does."""
+"""The template of a gateway's settings, with the values of a sample site."""
 
 import json
 import pathlib
-import re
+
+from oleanderbay.standins import settings_template
 
 PATH = pathlib.Path(__file__).parents[2] / "deploy" / "gateway.json5"
 # The values that the platform provides, as its pages show them.
@@ -28,8 +29,6 @@
         "grace_s": 8,
     },
 }
-SECTION = re.compile(r"\{\{#(?P<name>[^}]+)\}\}(?P<text>.*?)\{\{/(?P=name)\}\}")
-VALUE = re.compile(r"\{\{(?P<name>[^}]+)\}\}")
 
 
 def changed(path, value):
@@ -48,33 +47,4 @@
 
 def render(values):
     """Returns the settings text for the given values."""
-
-    def section(match):
-        found = _lookup(values, match["name"])
-        if found is None or found is False:
-            return ""
-        if not isinstance(found, list):
-            return match["text"].replace("{{.}}", _text(found))
-        return "".join(
-            match["text"]
-            .replace("{{.}}", _text(item))
-            .replace("{{,}}", "," if number < len(found) else "")
-            for number, item in enumerate(found, 1)
-        )
-
-    text = SECTION.sub(section, PATH.read_text())
-    return VALUE.sub(lambda match: _text(_lookup(values, match["name"])), text)
-
-
-def _lookup(values, name):
-    found = values
-    for key in name.split("."):
-        if isinstance(found, list):
-            found = found[int(key)] if int(key) < len(found) else None
-        else:
-            found = (found or {}).get(key)
-    return found
-
-
-def _text(value):
-    return "" if value is None else str(value)
+    return settings_template.render(PATH.read_text(), values)
