Name the version of each gateway in the report of an upgrade

The longest time without an answer counted the first stream of the run, 3 s.

Change: lines about a gateway name the version that it ran, and gaps count from the first replacement on.

--- a/bench/upgrade_fleet.py
+++ b/bench/upgrade_fleet.py
@@ -86,6 +86,7 @@
     Attributes:
         builds: Version that each gateway starts with next, by host.
         running: Version that each gateway was started with, by host.
+        versions: Name of the version of each start, by host and number.
         violations: Rules that workers saw broken, one line each.
         drained_ms: When a worker's entry said that it leaves, by its id.
     """
@@ -99,6 +100,7 @@
         super().__init__(options, clock)
         self.builds = dict.fromkeys(self.hosts, build)
         self.running: dict[str, upgrade_builds.Build] = {}
+        self.versions: dict[tuple[str, int], str] = {}
         self.violations: list[str] = []
         self.drained_ms: dict[str, int] = {}
         self.version = 0
@@ -142,6 +144,7 @@
         self.starts[host] += 1
         self.started.discard(host)
         self.running[host] = build
+        self.versions[host, self.starts[host]] = build.name
         await self.processes.start_command(
             host,
             build.command,
--- a/bench/upgrade_trial.py
+++ b/bench/upgrade_trial.py
@@ -116,9 +116,9 @@
             self.options.seed,
             self.clock,
         )
-        began_ms = self.clock.now_ms()
         callers.start()
         await self.clock.sleep_ms(SETTLE_MS)
+        began_ms = self.clock.now_ms()
         for _ in range(self.options.rounds):
             for build in (newer, older):
                 await self._replace_all(fleet, callers, build)
