Check that versions assign duties alike

What was missing: gateways choose readers, relays, owners and shares of limits alone, by hashes over what they have heard. Two versions with different rules would give a duty two holders or none, and no test would fail.

Change: the recorded files of earlier versions also hold such decisions for fixed gateways, zones, workers and domains. A test compares them with the present ones.

--- a/tests/gateway/capture_forms.py
+++ b/tests/gateway/capture_forms.py
@@ -16,14 +16,22 @@
 import json
 import logging
 import sys
+import types
 
 import aiohttp
 import structlog
 
 from oleanderbay.connection import frames
-from oleanderbay.gateway import fetching, peers, shared_reads
+from oleanderbay.gateway import (
+    domain_ownership,
+    fetching,
+    peers,
+    shared_reads,
+    summaries,
+)
 from oleanderbay.platform import names
-from tests.gateway import parts
+from oleanderbay.process import clock as clocks
+from tests.gateway import parts, test_peers
 
 try:
     from tests.gateway import site
@@ -94,9 +102,61 @@
             await _exchange(stack, captured)
     finally:
         frames.encode, peers.Peers._send = encode, send
+    captured["decisions"] = json.dumps(decisions()).encode()
     return captured
 
 
+def decisions():
+    """Returns what gateways decide alone and have to decide alike."""
+    ids = [f"g{number}" for number in range(12)]
+    gateway = test_peers.make_gateway("g1", "127.0.0.1")
+    for number in range(2, 9):
+        gateway.add_address(f"127.0.0.{number}", f"g{number}")
+    listed = [
+        summaries.ListedGateway(name, "s", "h", "h:1", True, False, False)
+        for name in ids
+    ]
+    return {
+        "relays": {
+            zone: summaries.choose_relays(zone, ids) for zone in ("z1", "z2")
+        },
+        "list digest": summaries.digest(listed),
+        "reader": {zone: _reader(zone, ids) for zone in ("z1", "z2")},
+        "rank": {name: gateway.rank(name) for name in ("w1", "w2", "w3")},
+        "partition": {
+            name: _partition(name) for name in ("d1", "d2", "chat/d1")
+        },
+    }
+
+
+def _reader(zone, ids):
+    """Returns the ids in the order in which they become the zone's reader."""
+    election = shared_reads.ReaderElection(
+        "", zone, None, {}, {}, lambda: False, 0
+    )
+    return sorted(ids, key=election._rank)
+
+
+def _partition(domain):
+    """Returns the partition whose owner orders the workers of a domain."""
+
+    def owns(number):
+        member = types.SimpleNamespace(
+            clock=clocks.ManualClock(),
+            confirmed_ms=0,
+            leaving=False,
+            suspended=lambda: False,
+            refused_generation=0,
+            generation=1,
+            ttl_ms=1_000,
+            store=types.SimpleNamespace(partitions=24),
+            partitions={number},
+        )
+        return domain_ownership.DomainOwnership.owns(member, domain)
+
+    return [number for number in range(24) if owns(number)]
+
+
 async def _exchange(stack, captured):
     """Makes two gateways send each kind of message."""
     fleet = site.Site()
--- a/tests/gateway/test_earlier_forms.py
+++ b/tests/gateway/test_earlier_forms.py
@@ -250,8 +250,17 @@
     assert found == [(json.loads(value)["host"], key)]
 
 
+# A duty that two versions assign by different rules has two holders, or none.
+@of_kind("decisions")
+def test_versions_assign_duties_alike(data):
+    now = json.loads(json.dumps(capture_forms.decisions()))
+    assert json.loads(data) == now
+
+
 def fields_of(kind, data):
     """Returns the shape of a message; free names below a field are left out."""
+    if kind == "decisions":
+        return set()
     if kind.startswith(("heartbeat", "summaries", "lists")):
         body = msgpack.unpackb(data)
         inner = body.pop("summaries", [])
