Forget the queues and the demand of models that left the configuration

What callers saw: nothing; a gateway that runs through many configurations grew.

Cause: a queue and the mean of the demand stayed for each service and model that was ever configured and asked for.

Change: making a queue drops the empty queues of what is no longer configured; a mean of the demand below a thousandth of a slot is dropped unless a request is in progress.

Evidence: 200 configurations with one model each, one request for each. Before, 200 queues, 200 counts of requests in progress and 200 means stayed; after, at most 20.

Measured result: no work is added to a request but when its queue is made.

Why it works: queues of configured models keep their forecasts, and are as many as the configuration has models; the others go once nothing waits in them.

--- a/oleanderbay/gateway/demand.py
+++ b/oleanderbay/gateway/demand.py
@@ -12,6 +12,8 @@
 SMOOTHING_MS = 3_000
 # Callers retry after a refusal, so the same request is refused twice.
 REFUSED_WEIGHT = 0.5
+# A mean below this counts as none, and is not kept.
+MIN_MEAN = 0.001
 
 
 class Demand:
@@ -39,6 +41,8 @@
     def record_end(self, model: str) -> None:
         """Counts the end of a request."""
         self._in_progress[model] -= 1
+        if not self._in_progress[model]:
+            del self._in_progress[model]
 
     def record_refusal(self, model: str, service_ms: float) -> None:
         """Counts a request that found no slot, with its predicted time."""
@@ -69,6 +73,11 @@
             mean = self.own_means.get(model, 0.0)
             self.own_means[model] = mean + weight * (current - mean)
         self._refused_ms.clear()
+        self.own_means = {
+            model: mean
+            for model, mean in self.own_means.items()
+            if mean >= MIN_MEAN or self._in_progress[model]
+        }
 
     def mean(self, model: str) -> float:
         """Returns the slots that a model's requests take at all gateways."""
--- a/oleanderbay/gateway/queueing.py
+++ b/oleanderbay/gateway/queueing.py
@@ -255,9 +255,22 @@
     def _queue(self, service: str, model: str) -> _Queue:
         queue = self._queues.get((service, model))
         if queue is None:
+            self._drop_unused()
             queue = self._queues[service, model] = _Queue(self.clock)
         return queue
 
+    def _drop_unused(self) -> None:
+        """Drops empty queues of models that are no longer configured."""
+        current = self.selector.gateway_state.table
+        if current is None:
+            return
+        for key, queue in tuple(self._queues.items()):
+            service = current.services.get(key[0])
+            if not (queue.requests or queue.retried) and (
+                service is None or not service.has_model(key[1])
+            ):
+                del self._queues[key]
+
     def _dispatch(self, queue: _Queue) -> selection.NoWorker:
         """Assigns free slots; returns why there are no more."""
         queue.dispatched_ms = self.clock.now_ms()
--- a/tests/gateway/test_made_up_names.py
+++ b/tests/gateway/test_made_up_names.py
@@ -7,6 +7,7 @@
 import pytest
 
 from oleanderbay.gateway import table
+from oleanderbay.process import clock as clocks
 from oleanderbay.request import outcome
 from tests.gateway import parts, state_sizes, test_pipeline
 
@@ -26,13 +27,13 @@
         yield made
 
 
-def _serve(harness, service):
+def _serve(harness, service, version=2):
     """Sends all requests to a service."""
     route = dataclasses.replace(
         parts.ROUTE, service_weights=((service.name, 1.0),)
     )
     harness.gateway.configure(
-        parts.routing_table(2, routes=(route,), services=(service,))
+        parts.routing_table(version, routes=(route,), services=(service,))
     )
 
 
@@ -69,6 +70,34 @@
     assert _grown(harness, before) == {}
 
 
+async def test_models_of_former_configurations_are_forgotten(harness):
+    """Each model that was ever configured kept a queue and a mean."""
+    for number in range(200):
+        model = dataclasses.replace(parts.MODEL, name=f"m{number}")
+        _serve(
+            harness,
+            dataclasses.replace(
+                parts.MODEL_SERVICE,
+                engine=table.Engine(slots=4, models=(model,)),
+            ),
+            version=2 + number,
+        )
+        assert (await harness.call(model=model.name, timeout_ms=20)).refusal
+        harness.pipeline.deps.demand.sample()
+    demand = harness.pipeline.deps.demand
+    demand.clock = clocks.ManualClock()
+    demand.clock.set_ms(harness.gateway.clock.now_ms())
+    for _ in range(20):
+        await demand.clock.advance(3_000)
+        demand.sample()
+    sizes = state_sizes.tables(harness.pipeline)
+    assert {
+        path: size
+        for path, size in sizes.items()
+        if size > 20 and not path.endswith(BOUNDED)
+    } == {}
+
+
 @pytest.mark.parametrize("service", [parts.PLAIN_SERVICE, ENGINE_SERVICE])
 async def test_a_plain_service_ignores_the_names_of_models(harness, service):
     """Latencies, queues and demand were kept by the caller's header."""
