Forget workers that are gone in every table of a gateway

What callers saw: nothing until memory ran out; a gateway kept entries for each worker that was ever registered. A rest that had ended also kept the check for rests in each choice of a worker.

Cause: `ColdStartBudget.retain_workers` had no caller, and nothing pruned what was staged on workers, when they were first seen, rests after the last one, the windows of the retry budget of services that left, ways through gateways that once failed, and keys whose records could not be read.

Change: the heartbeat, which already drops the health of workers that are gone, drops their cold starts and ended rests too. The controller drops the times at which they were first seen, and what was staged on them 30 s after their record went: records expire while the store is down and return, and a load goes on meanwhile. Windows and failed ways are pruned when another one is added; a removed record takes its key from the keys that were logged.

Why it works: each table is compared with the records that a gateway has, at the places that run regularly.

--- a/oleanderbay/gateway/budget.py
+++ b/oleanderbay/gateway/budget.py
@@ -60,8 +60,14 @@
     def _in_window(
         self, timestamps: dict[str, collections.deque[int]], service: str
     ) -> collections.deque[int]:
-        times = timestamps.setdefault(service, collections.deque())
         expired_ms = self.clock.now_ms() - self.window_ms
+        times = timestamps.get(service)
+        if times is None:
+            # A service that left the configuration has no new timestamps.
+            for other, known in tuple(timestamps.items()):
+                if not known or known[-1] <= expired_ms:
+                    del timestamps[other]
+            times = timestamps[service] = collections.deque()
         while times and times[0] <= expired_ms:
             times.popleft()
         return times
--- a/oleanderbay/gateway/controller.py
+++ b/oleanderbay/gateway/controller.py
@@ -140,12 +140,20 @@
             return
         self._forget_lost()
         self._reprobe_lost()
+        self._forget_gone()
         groups = self.gateway_state.groups()
         self.dissolution.update_heads(groups)
         for service in current.services.values():
             if service.engine is not None and service.engine.models:
                 self._reconcile_service(service, service.engine, groups)
 
+    def _forget_gone(self) -> None:
+        """Forgets workers without a record."""
+        self.formations.forget_gone_workers()
+        for worker_id in tuple(self._first_seen_ms):
+            if worker_id not in self.gateway_state.workers:
+                del self._first_seen_ms[worker_id]
+
     def _forget_lost(self) -> None:
         """Forgets missing members that only peers have found lost."""
         for worker in tuple(self.gateway_state.missing_members.values()):
@@ -286,6 +294,7 @@
         the others.
         """
         if self.demand.has_traffic:
+            self._first_seen_ms.clear()
             return False
         now_ms = self.clock.now_ms()
         for worker in members:
--- a/oleanderbay/gateway/dialing.py
+++ b/oleanderbay/gateway/dialing.py
@@ -183,7 +183,13 @@
                 host, config.peers.port, config.entry.host, worker
             )
         except OSError:
-            self._avoided_until_ms[gateway_id] = self.clock.now_ms() + AVOID_MS
+            now_ms = self.clock.now_ms()
+            self._avoided_until_ms = {
+                known: until_ms
+                for known, until_ms in self._avoided_until_ms.items()
+                if until_ms > now_ms
+            }
+            self._avoided_until_ms[gateway_id] = now_ms + AVOID_MS
             raise
 
 
--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -486,15 +486,12 @@
         self.demand.retain_peers(live)
         self.shared_reads.election.retain_peers(live)
         self.group_controller.capacity.retain_peers(live)
-        self.worker_health.retain_peers(
-            live,
-            frozenset(
-                (
-                    *self.gateway_state.workers,
-                    *self.gateway_state.missing_members,
-                )
-            ),
+        known = frozenset(
+            (*self.gateway_state.workers, *self.gateway_state.missing_members)
         )
+        self.worker_health.retain_peers(live, known)
+        self.selector.cold_budget.retain_workers(known)
+        self.selector.rests.drop_ended()
         request_report = self.request_quarantine.report()
         return {
             "ready": self.ready(),
--- a/oleanderbay/gateway/formation.py
+++ b/oleanderbay/gateway/formation.py
@@ -30,6 +30,9 @@
 FORMATION_TIMEOUT_FACTOR = 3
 # Loads before the first request take this part of the usual time.
 EARLY_LOAD_SHARE = 0.1
+# How long it is kept what was staged on a worker without a record. Records
+# expire while the store is down and return; the load goes on meanwhile.
+MISSING_RECORD_MS = 30_000
 # Low bits of an epoch that count the groups of one generation of ownership.
 EPOCH_COUNTER_BITS = 16
 
@@ -75,8 +78,10 @@
         self.name_prefix = name_prefix
         self.forming: dict[Key, table.Model] = {}
         self.joining: dict[str, str] = {}
-        # Model last staged, by worker id and start time of the worker.
+        # Model last staged, by worker id and start time of the worker, and the
+        # time at which those without a record were last seen.
         self._staging_requests: dict[tuple[str, int], str] = {}
+        self._missing_since_ms: dict[tuple[str, int], int] = {}
         self._group_count = 0
 
     def begin(self, planned: planner.PlannedGroup) -> None:
@@ -116,6 +121,24 @@
             self._staging_requests.get((worker.id, worker.started_ms)) == model
         )
 
+    def forget_gone_workers(self) -> None:
+        """Forgets what was staged on workers that are gone or restarted."""
+        now_ms = self.clock.now_ms()
+        missing = {
+            incarnation: self._missing_since_ms.get(incarnation, now_ms)
+            for incarnation in self._staging_requests
+            if not self._is_registered(*incarnation)
+        }
+        for incarnation, since_ms in tuple(missing.items()):
+            if now_ms - since_ms >= MISSING_RECORD_MS:
+                del self._staging_requests[incarnation]
+                del missing[incarnation]
+        self._missing_since_ms = missing
+
+    def _is_registered(self, worker_id: str, started_ms: int) -> bool:
+        worker = self.gateway_state.workers.get(worker_id)
+        return worker is not None and worker.started_ms == started_ms
+
     def stage(self, worker: workers.Worker, model: table.Model) -> None:
         """Makes a worker load a model onto its host."""
         incarnation = (worker.id, worker.started_ms)
--- a/oleanderbay/gateway/rests.py
+++ b/oleanderbay/gateway/rests.py
@@ -26,18 +26,23 @@
 
     def record(self, worker: workers.Worker, rest_ms: int) -> None:
         """Records that a worker wants no requests for a time."""
+        self.drop_ended()
         now_ms = self.clock.boot_ms()
-        self._rests = {
-            worker_id: rest
-            for worker_id, rest in self._rests.items()
-            if rest[1] > now_ms
-        }
         until_ms = now_ms + min(rest_ms, MAX_REST_MS)
         self._rests[worker.id] = (
             worker.started_ms,
             max(until_ms, now_ms + self.left_ms(worker)),
         )
 
+    def drop_ended(self) -> None:
+        """Forgets the rests that are over."""
+        now_ms = self.clock.boot_ms()
+        self._rests = {
+            worker_id: rest
+            for worker_id, rest in self._rests.items()
+            if rest[1] > now_ms
+        }
+
     def left_ms(self, worker: workers.Worker) -> int:
         """Returns for how long a worker wants no requests; 0 if it takes them.
 
--- a/oleanderbay/gateway/state.py
+++ b/oleanderbay/gateway/state.py
@@ -129,10 +129,12 @@
                 if membership and membership.rank and not removed.draining:
                     self.missing_members[removed.id] = removed
             self.cold_until_ms.pop(record.key, None)
+            self._logged.discard(record.key)
             return removed is None
         worker = self.decoder.worker(record.key, record.value)
         if isinstance(worker, str):
             self._record_skipped(record.key, worker)
+            self.cold_until_ms.pop(record.key, None)
             if self.workers.pop(record.key, None) is None:
                 return True
             self.revision += 1
