Forget addresses at which no gateway is registered or heard

What callers saw: nothing; a gateway counted each address at which a gateway ever was as one to send heartbeats to, and, at its start, as one to share limits with.

Cause: `Membership.forget_addresses` had no caller. Addresses that were only read from the store stayed when their gateway moved or its record was removed.

Change: each read of all gateways' records, every 10 s, drops the addresses that are neither in them, nor a seed, nor at which a gateway was heard or listed by a zone. The unused method is replaced by this one.

Evidence: a gateway that registers at 2,000 hosts in turn left 2,000 addresses before (the former methods add and never remove); after, the last one. An empty store takes away no seed and no gateway that was heard.

Measured result: one pass over the addresses every 10 s. Tests of peers, relays, summaries, shared reads, entry, partitions and tunnels pass.

Why it works: a gateway writes its record again if a read doesn't show it, and its heartbeat adds its address in any case.

--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -5,7 +5,7 @@
 import json
 import random
 import uuid
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from typing import Any
 
 import mode
@@ -551,8 +551,7 @@
                         interfaces.Topic.GATEWAYS, self.config.entry.id, value
                     )
                 page = await self.store.newest(interfaces.Topic.GATEWAYS)
-                for record in page.records:
-                    self._add_address(record)
+                self._apply_addresses(page.records)
                 # A restored store may lack the own record.
                 written = any(
                     (record.key, record.value) == (self.config.entry.id, value)
@@ -570,12 +569,18 @@
                 else RETRY_DELAY_MS
             )
 
-    def _add_address(self, record: interfaces.KeyedRecord) -> None:
-        if record.value is None:
-            return
-        try:
-            host = str(json.loads(record.value)["host"])
-        except (ValueError, KeyError, TypeError):
-            log.warning("address skipped", key=record.key)
-            return
-        self.peers.add_address(host, record.key)
+    def _apply_addresses(
+        self, records: Iterable[interfaces.KeyedRecord]
+    ) -> None:
+        """Applies all records of the gateways' addresses."""
+        registered = {}
+        for record in records:
+            if record.value is None:
+                continue
+            try:
+                registered[record.key] = str(json.loads(record.value)["host"])
+            except (ValueError, KeyError, TypeError):
+                log.warning("address skipped", key=record.key)
+        for gateway_id, host in registered.items():
+            self.peers.add_address(host, gateway_id)
+        self.peers.retain_addresses(registered)
--- a/oleanderbay/gateway/membership.py
+++ b/oleanderbay/gateway/membership.py
@@ -290,11 +290,21 @@
             self.addresses[host] = peer_id
             self._counted_ms = -COUNT_CACHE_MS
 
-    def forget_addresses(self, peer_id: str) -> None:
-        """Removes the addresses of a gateway, unless it is live."""
-        for host, known in tuple(self.addresses.items()):
-            if known == peer_id and peer_id not in self.live:
+    def retain_addresses(self, registered: Mapping[str, str]) -> None:
+        """Removes addresses at which no gateway is or has been heard.
+
+        Args:
+            registered: Hosts of all gateways in the store, by gateway id.
+        """
+        listed = self.zones.zone_by_host()
+        heard = {peer.host for peer in self.heard_peers.values()}
+        seeds = {seed.partition(":")[0] for seed in self.config.peers.seeds}
+        for host, peer_id in tuple(self.addresses.items()):
+            if host not in heard | listed.keys() | seeds and (
+                registered.get(peer_id) != host
+            ):
                 del self.addresses[host]
+                self._counted_ms = -COUNT_CACHE_MS
 
     def drop_silent(self) -> None:
         """Drops peers and zones that have been silent for too long."""
--- a/oleanderbay/gateway/peers.py
+++ b/oleanderbay/gateway/peers.py
@@ -99,6 +99,7 @@
         self.gateway_count = self.members.gateway_count
         self.rank = self.members.rank
         self.add_address = self.members.add_address
+        self.retain_addresses = self.members.retain_addresses
         self.relays = relays.Relays(config, self.members, lambda: self._leaving)
         self.summary_builder = relays.SummaryBuilder(
             config, start_id, self.members, self.relays
--- a/tests/gateway/test_kept_state.py
+++ b/tests/gateway/test_kept_state.py
@@ -186,6 +186,29 @@
     assert _grown(gateway, before) == {}
 
 
+async def test_addresses_that_the_store_no_longer_has_are_forgotten(gateway):
+    """Heartbeats went to each address at which a gateway ever was."""
+
+    def record(number, host):
+        value = json.dumps({"host": host}).encode()
+        return interfaces.KeyedRecord(number, f"p{number}", value)
+
+    before = dict(gateway.peers.addresses)
+    _add_peer(gateway, 1)
+    for moved in range(COUNT):
+        gateway._apply_addresses(
+            [record(2, f"127.2.{moved // 250}.{moved % 250}"), record(3, "h3")]
+        )
+    assert gateway.peers.addresses == {
+        **before,
+        "127.1.0.1": "p1",
+        "127.2.7.249": "p2",
+        "h3": "p3",
+    }
+    gateway._apply_addresses([])
+    assert gateway.peers.addresses == {**before, "127.1.0.1": "p1"}
+
+
 def _grown(gateway, before):
     found = state_sizes.grown(gateway, before)
     return {
