Stage a model again that a worker did not take

What callers saw: a worker whose order to load a model ahead failed once had no other model on its host for the rest of its life, so that a change to it took a full load.

Cause: the request was noted as made before its order was sent, and stayed noted.

Change: 5 s after a failed order the request is forgotten. No other order to stage is planned for the worker until then.

Evidence: a worker that refuses the order got one series of attempts in 16 s before, and gets two or three now; after it accepts, no further order comes.

Orders to a worker that always refuses are at most one series in 5 s.

Why it works: the limit on loads and the check of what the host holds are applied again to each request.

--- a/oleanderbay/gateway/formation.py
+++ b/oleanderbay/gateway/formation.py
@@ -33,6 +33,9 @@
 # How long it is kept what was staged on a worker without a record. Records
 # expire while the store is down and return; the load goes on meanwhile.
 MISSING_RECORD_MS = 30_000
+# Time after which a model that was not staged on a worker may be again. Orders
+# are priced, and a worker may refuse them for as long as it loads.
+STAGING_RETRY_MS = 5_000
 # Low bits of an epoch that count the groups of one generation of ownership.
 EPOCH_COUNTER_BITS = 16
 
@@ -116,10 +119,14 @@
         return self.tasks.running(("adopt", key))
 
     def staging_requested(self, worker: workers.Worker, model: str) -> bool:
-        """Whether a model is the last one staged on this run of a worker."""
-        return (
-            self._staging_requests.get((worker.id, worker.started_ms)) == model
-        )
+        """Whether a model is the last one staged on this run of a worker.
+
+        While an order is sent, or failed a moment ago, there is no other one.
+        """
+        incarnation = (worker.id, worker.started_ms)
+        return self._staging_requests.get(
+            incarnation
+        ) == model or self.tasks.running(("stage", *incarnation))
 
     def forget_gone_workers(self) -> None:
         """Forgets what was staged on workers that are gone or restarted."""
@@ -397,6 +404,8 @@
             )
         except fenced_orders.OrderError as error:
             log.info("model not staged", worker=worker.id, error=str(error))
+            await self.clock.sleep_ms(STAGING_RETRY_MS)
+            self._staging_requests.pop((worker.id, worker.started_ms), None)
 
 
 async def _all_accepted(orders: Iterable[Awaitable[None]]) -> None:
--- a/tests/gateway/test_controller.py
+++ b/tests/gateway/test_controller.py
@@ -182,3 +182,20 @@
     assert health.lost == {"a": 0} and health.report()["lost"] == {"a": 0}
     health.partitioned = lambda: True
     assert health.report()["lost"] == {}
+
+
+async def test_a_model_that_was_not_staged_may_be_staged_later(simulation):
+    """One failed order kept a model from a worker's host for good."""
+    simulation.add("a")
+    simulation.results["stage", "a"] = RESULT.CONFLICT
+    await simulation.clock.advance(4_000)
+    attempts = len(simulation.orders("stage"))
+    assert attempts
+    # Orders are priced, so it is not asked for again at once.
+    await simulation.clock.advance(12_000)
+    assert 2 * attempts <= len(simulation.orders("stage")) <= 3 * attempts
+    del simulation.results["stage", "a"]
+    await simulation.clock.advance(12_000)
+    attempts = len(simulation.orders("stage"))
+    await simulation.clock.advance(20_000)
+    assert len(simulation.orders("stage")) == attempts
