Reject ids of gateways that the store can't hold as a key

What callers saw: a gateway with an id of more than 255 bytes started, and its peers never learned its address from the store: its log told every half second that the exchange of addresses had failed, without a reason that names the setting.

Cause: `HttpStore.put` states the length of a key in one byte and raised ValueError for a longer one, which is no StoreError, so the exchange ended and began again. A key with a lone surrogate, which JSON allows, failed in the same way.

Change: settings have a limit of bytes in UTF-8 for a text, which the id of a gateway uses; `put` raises StoreRefusedError for a key that it can't hold, since nothing was written.

Evidence: 4 settings files with such ids (256 bytes in ASCII and in UTF-8, lone surrogates) were parsed before and end the start now, with one line that names entry.id and 255 bytes, and exit code 2. 3 such keys raised ValueError, now the store's error, without a call; keys of 255 bytes are written and read.

Measured result: tests of settings, the store and the command line pass.

Why it works: the two limits are compared by a test, so an accepted id is always a key that can be written.

--- a/oleanderbay/gateway/settings.py
+++ b/oleanderbay/gateway/settings.py
@@ -7,6 +7,8 @@
 
 SettingsError = settings_text.SettingsError
 TelemetrySettings = sections.TelemetrySettings
+# Ids of gateways are keys of the store, which states their length in a byte.
+MAX_ID_BYTES = 255
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -19,7 +21,7 @@
         host: IP address at which peers reach it.
     """
 
-    id: str = sections.setting(empty=False)
+    id: str = sections.setting(empty=False, max_bytes=MAX_ID_BYTES)
     zone: str = sections.setting(empty=False)
     host: str = sections.setting(empty=False)
 
--- a/oleanderbay/platform/store.py
+++ b/oleanderbay/platform/store.py
@@ -24,6 +24,8 @@
 MAX_READ_KB = 1_024
 # The store's pages and reads are limited to about 1 MB, before base64.
 MAX_RESPONSE_BYTES = 8 * MAX_READ_KB * 1_024
+# The length of a key is stated in one byte.
+MAX_KEY_BYTES = 255
 # Calls are limited by `HttpStore.timeout_ms` instead.
 NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 _RECORD_LENGTH = struct.Struct(">I")
@@ -151,7 +153,7 @@
         self, topic: interfaces.Topic, key: str, value: bytes | None
     ) -> None:
         """Appends a record; see `Store.put`."""
-        encoded_key = key.encode()
+        encoded_key = _encode_key(key)
         content = bytes((len(encoded_key),)) + encoded_key + (value or b"")
         answer = await self._call(
             "POST",
@@ -261,6 +263,18 @@
     return int(text)
 
 
+def _encode_key(key: str) -> bytes:
+    try:
+        encoded = key.encode()
+    except UnicodeEncodeError:
+        encoded = b""
+    if not 0 < len(encoded) <= MAX_KEY_BYTES:
+        raise interfaces.StoreRefusedError(
+            f"append: a key has 1 to {MAX_KEY_BYTES} bytes in UTF-8"
+        )
+    return encoded
+
+
 def _raise_for_status(status: int, operation: str) -> None:
     if 200 <= status < 300:
         return
--- a/oleanderbay/process/checker.py
+++ b/oleanderbay/process/checker.py
@@ -125,6 +125,13 @@
             self.wrong(path, found, "a string is allowed")
         elif not found and not limits.get("empty", True):
             self.wrong(path, found, "a non-empty string is allowed")
+        elif not fits(found, limits.get("max_bytes")):
+            self.wrong(
+                path,
+                found,
+                f"a text of at most {limits['max_bytes']} bytes in UTF-8 is "
+                "allowed",
+            )
         elif found and limits.get("address") and not is_address(found):
             self.wrong(
                 path, found, "host:port with a port from 0 to 65535 is allowed"
@@ -172,6 +179,17 @@
         return line
 
 
+def fits(text: str, max_bytes: int | None) -> bool:
+    """Whether a text has at most a number of bytes in UTF-8; None for any."""
+    if max_bytes is None:
+        return True
+    try:
+        return len(text.encode()) <= max_bytes
+    except UnicodeEncodeError:
+        # JSON strings may contain lone surrogates.
+        return False
+
+
 def is_address(text: str) -> bool:
     """Whether a text is `host:port`."""
     host, _, port = text.rpartition(":")
--- a/oleanderbay/process/sections.py
+++ b/oleanderbay/process/sections.py
@@ -19,6 +19,7 @@
     high: float | None = None,
     choices: tuple[str, ...] = (),
     empty: bool = True,
+    max_bytes: int | None = None,
     address: bool = False,
     rounds: bool = False,
 ) -> Any:
@@ -30,6 +31,8 @@
         high: Greatest number allowed; None for no limit.
         choices: The texts allowed; empty if any text is.
         empty: Whether an empty text is allowed.
+        max_bytes: Most bytes that a text may have in UTF-8; None for no
+            limit.
         address: Whether a text must be `host:port`.
         rounds: Whether a fraction is rounded to an integer.
     """
@@ -38,6 +41,7 @@
         "high": high,
         "choices": choices,
         "empty": empty,
+        "max_bytes": max_bytes,
         "address": address,
         "rounds": rounds,
     }
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -8,6 +8,7 @@
 
 from oleanderbay.cli import codes, main
 from oleanderbay.gateway import settings
+from oleanderbay.platform import store
 from tests.gateway import parts, template
 
 TREE = json.loads(json.dumps(dataclasses.asdict(parts.SETTINGS)))
@@ -50,6 +51,31 @@
         settings.parse(json.dumps({**TREE, section: 3}))
 
 
+@pytest.mark.parametrize(
+    "gateway_id", ["g" * 256, "ä" * 128, "\ud800", "g\udfff"]
+)
+def test_an_id_that_the_store_can_not_hold_is_rejected(
+    gateway_id, tmp_path, capsys
+):
+    """A gateway with it started, and its addresses were never exchanged."""
+    tree = json.loads(json.dumps(TREE))
+    path = tmp_path / "gateway.json5"
+    tree["entry"]["id"] = "ä" * 127 + "g"
+    assert settings.parse(json.dumps(tree)).entry.id == tree["entry"]["id"]
+    tree["entry"]["id"] = gateway_id
+    with pytest.raises(settings.SettingsError):
+        settings.parse(json.dumps(tree))
+    path.write_text(json.dumps(tree))
+    code = main.main(["gateway", "--settings", str(path)])
+    (line,) = capsys.readouterr().err.splitlines()
+    assert code == codes.EXIT_USAGE
+    assert "entry.id" in line and "255 bytes" in line
+
+
+def test_ids_are_limited_by_the_keys_of_the_store():
+    assert settings.MAX_ID_BYTES == store.MAX_KEY_BYTES
+
+
 @pytest.mark.parametrize("text", ["", "{", "[" * 5_000, "{a: 1, a: 2}"])
 def test_an_invalid_settings_file_is_rejected(text, tmp_path, capsys):
     """The start must end with an error message rather than a traceback."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -115,6 +115,17 @@
         assert newest.end_offset == 3
 
 
+@pytest.mark.parametrize("key", ["k" * 256, "ä" * 128, "\ud800"])
+async def test_a_key_that_the_store_can_not_hold_is_refused(key):
+    """A ValueError ended the exchange of addresses, which began again."""
+    async with client() as (stand_in, store_client):
+        with pytest.raises(interfaces.StoreRefusedError, match="255 bytes"):
+            await store_client.put(GATEWAYS, key, b"1")
+        assert stand_in.calls == []
+        await store_client.put(GATEWAYS, "ä" * 127 + "k", b"1")
+        assert (await store_client.newest(GATEWAYS)).records
+
+
 async def test_a_read_waits_at_the_store_for_the_first_record():
     """Polling without a wait would exhaust the store's rate limit."""
     async with client() as (stand_in, store_client):
