Reject priorities that are no whole number of the allowed range

What callers saw: with a team whose `priority` was a text, a list or an object, each request of the team failed in its queue, while the configuration was reported as in force. A priority of -1 preceded requests that a worker may have started already.

Cause: the priority of a team was taken over as it stood, and that of a route was converted by int(), which accepts texts, booleans and negative numbers.

Change: both are numbers from 0 to MAX_PRIORITY; a fraction is dropped, as with the other whole numbers of records. A configuration with another one is skipped entirely and the former one stays in force, as with any other malformed field. A team without one, or with null, still leaves the priority of its route.

Why it works: a record is checked once when it is read, so requests meet only numbers.

--- a/oleanderbay/platform/records.py
+++ b/oleanderbay/platform/records.py
@@ -20,13 +20,14 @@
     "closing": workers.MemberState.CLOSING,
     "broken": workers.MemberState.BROKEN,
 }
-# Largest numbers that a worker's record may hold. They are sent to other
+# Largest numbers that a record may hold. Those of workers are sent to other
 # gateways and used in calculations with floating-point numbers.
 MAX_SLOTS = 1_000_000
 MAX_RANK = 1_000_000
 MAX_COLD_MS = 86_400_000
 MAX_COUNT = 2**53
 MAX_PACE = 1_000_000
+MAX_PRIORITY = 1_000_000
 ADDRESS = re.compile(r"([A-Za-z0-9.-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})")
 # Ids of workers are sent in headers.
 WORKER_ID = re.compile(r"[!-~]+")
@@ -181,7 +182,10 @@
         hosts.setdefault(route.host, []).append(route)
     teams = {
         _non_empty_string(key): table.Team(
-            name=_non_empty_string(item["name"]), priority=item.get("priority")
+            name=_non_empty_string(item["name"]),
+            priority=None
+            if item.get("priority") is None
+            else _whole(item, "priority", MAX_PRIORITY),
         )
         for item in body.get("tenants") or ()
         for key in item.get("api_keys") or ()
@@ -230,7 +234,7 @@
             body.get("target_latency_ms") or body["timeout_ms"]
         ),
         gap_target_ms=int(body.get("target_gap_ms") or 0),
-        priority=int(body.get("priority") or 0),
+        priority=_whole(body, "priority", MAX_PRIORITY),
         service_weights=tuple(
             (_non_empty_string(part["service"]), float(part["weight"]))
             for part in split
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -131,3 +131,56 @@
     """A partly applied version would refuse valid requests."""
     incomplete = {k: v for k, v in CONFIGURATION.items() if k != field}
     assert isinstance(DECODER.table(json.dumps(incomplete).encode()), str)
+
+
+def configuration_with_priority(place, value):
+    """Parses a configuration in which one priority has the given value."""
+    body = json.loads(json.dumps(CONFIGURATION))
+    body[place][0]["priority"] = value
+    return DECODER.table(json.dumps(body).encode())
+
+
+@pytest.mark.parametrize("place", ["tenants", "routes"])
+@pytest.mark.parametrize(
+    "value",
+    [
+        "high",
+        "4",
+        "",
+        [],
+        {},
+        True,
+        False,
+        -1,
+        -0.5,
+        10**30,
+        records.MAX_PRIORITY + 1,
+        float("nan"),
+        float("inf"),
+        float("-inf"),
+    ],
+)
+def test_a_priority_that_is_no_number_is_rejected(place, value):
+    """Each request of the team or route failed; -1 preceded started ones."""
+    assert isinstance(configuration_with_priority(place, value), str)
+
+
+@pytest.mark.parametrize(
+    ("value", "priority"),
+    [(0, 0), (4.0, 4), (records.MAX_PRIORITY, records.MAX_PRIORITY)],
+)
+def test_a_priority_is_a_whole_number(value, priority):
+    found = configuration_with_priority("tenants", value)
+    assert found.team("k1").priority == priority
+    assert type(found.team("k1").priority) is int
+    found = configuration_with_priority("routes", value)
+    assert found.route("api.test", "/").priority == priority
+
+
+def test_a_priority_may_be_missing():
+    """A team without one leaves the priority of the route in force."""
+    assert configuration_with_priority("tenants", None).team("k1") == (
+        table.Team(name="team", priority=None)
+    )
+    parsed = configuration_with_priority("routes", None)
+    assert parsed.route("api.test", "/").priority == 0
