Renew the ownership when the epochs of a generation are used up

What callers saw: nothing yet. After 65,536 groups formed by one gateway, names and epochs of groups would repeat, so that a delayed order could affect a later group; and at the end of the counter's range an epoch was lower than the one before, which workers refuse.

Cause: the counter below the generation in an epoch has 16 bits and began again at 0 in whatever generation the gateway then had.

Change: the counter passes 0 only in a later generation than that of the last group. Until then the gateway plans no group: it leaves the owners and joins them again, which the store answers with a new generation, and meanwhile sends no order, as after a refused fencing token. A call to leave that is not answered is repeated.

Evidence: tests/gateway/test_controller.py runs a counter of 2 bits through 60 s of formations that fail.

Why it works: between two passes of 0 all values of the counter differ, and after one the generation above it is higher.

--- a/oleanderbay/gateway/domain_ownership.py
+++ b/oleanderbay/gateway/domain_ownership.py
@@ -44,13 +44,16 @@
         self.confirmed_ms = -1
         self.refused_generation = -1
         self.leaving = False
+        self._renewing = False
         self.suspended: Callable[[], bool] = lambda: False
 
     async def run(self) -> None:
         """Confirms the ownership periodically until cancelled."""
         while not self.leaving:
             called_ms = self.clock.now_ms()
-            if not self.suspended():
+            if self._renewing:
+                self._renewing = not await self._withdraw()
+            elif not self.suspended():
                 await self.confirm()
             elif self.confirmed_ms >= 0:
                 await self._withdraw()
@@ -91,13 +94,21 @@
         self.leaving = True
         await self._withdraw()
 
-    async def _withdraw(self) -> None:
+    def renew(self) -> None:
+        """Gives up the current generation in order to get a new one."""
+        self.refused_generation = max(self.refused_generation, self.generation)
+        self._renewing = True
+
+    async def _withdraw(self) -> bool:
+        """Gives up all domains; returns whether the store has confirmed."""
         self.partitions = frozenset()
         self.confirmed_ms = -1
         try:
             await self.store.leave(self.member)
         except interfaces.StoreError as error:
             log.info("ownership lapses", error=str(error))
+            return False
+        return True
 
     def owns(self, domain: str) -> bool:
         """Whether this gateway may send orders to workers of a domain now."""
--- a/oleanderbay/gateway/formation.py
+++ b/oleanderbay/gateway/formation.py
@@ -86,14 +86,24 @@
         self._staging_requests: dict[tuple[str, int], str] = {}
         self._missing_since_ms: dict[tuple[str, int], int] = {}
         self._group_count = 0
+        # Generation of ownership in which the last group was planned.
+        self._last_generation = -1
 
     def begin(self, planned: planner.PlannedGroup) -> None:
-        """Starts to form a group under a name and epoch never used before."""
-        self._group_count += 1
+        """Starts to form a group under a name and epoch never used before.
+
+        If the epochs of the generation of ownership are used up, the group is
+        left to be planned again in a new one.
+        """
         generation = self.sender.ownership.generation
-        epoch = (generation << EPOCH_COUNTER_BITS) | (
-            self._group_count & ((1 << EPOCH_COUNTER_BITS) - 1)
-        )
+        counter = (self._group_count + 1) & ((1 << EPOCH_COUNTER_BITS) - 1)
+        if counter == 0 and generation <= self._last_generation:
+            log.info("epochs used up", generation=generation)
+            self.sender.ownership.renew()
+            return
+        self._group_count += 1
+        self._last_generation = generation
+        epoch = (generation << EPOCH_COUNTER_BITS) | counter
         key = (f"{self.name_prefix}-{epoch}", epoch)
         log.info(
             "group planned",
--- a/tests/gateway/test_controller.py
+++ b/tests/gateway/test_controller.py
@@ -1,11 +1,13 @@
 """Tests of forming and repairing groups with simulated workers."""
 
 import pytest
+import structlog
 
-from oleanderbay.gateway import interfaces
+from oleanderbay.gateway import formation, interfaces
 from tests.gateway import group_simulation, parts
 
 RESULT = interfaces.OrderResult
+PLANNED = "group planned"
 
 
 @pytest.fixture
@@ -157,6 +159,32 @@
     assert [epoch for _, epoch in seen] == sorted({e for _, e in seen})
 
 
+async def test_epochs_do_not_repeat_when_their_counter_is_used_up(
+    simulation, monkeypatch
+):
+    """The counter began again in the same generation of ownership."""
+    monkeypatch.setattr(formation, "EPOCH_COUNTER_BITS", 2)
+    store = simulation.store
+
+    async def leave(member):
+        store.generation += 1
+        # An answer that is lost must not end the renewal.
+        if store.generation % 2:
+            raise interfaces.StoreError("lost")
+
+    monkeypatch.setattr(store, "leave", leave)
+    simulation.results["join", "b"] = RESULT.CONFLICT
+    simulation.add("a")
+    simulation.add("b")
+    with structlog.testing.capture_logs() as lines:
+        for _ in range(60):
+            await simulation.clock.advance(1_000)
+    planned = [line["group"] for line in lines if line["event"] == PLANNED]
+    assert len(planned) > 10
+    epochs = [int(name.rpartition("-")[2]) for name in planned]
+    assert epochs == sorted(set(epochs))
+
+
 # An owner that was partitioned kept workers lost for all gateways, as it gave
 # their domain up before they answered again.
 async def test_a_worker_is_probed_again_by_the_gateway_that_found_it_lost(
