Accept a ticket only in the spelling that entries write

What callers saw: keys with tickets such as `tk.+1.n.s1` or `tk.0x1.n.s1`, which no entry had issued, were taken for tickets, so a caller's mistake in building a key was not refused; two spellings of one ticket are two keys.

Cause: int() with base 16 accepts signs, prefixes, underscores, spaces, upper case, leading zeros and digits of other scripts.

Change: a parsed ticket must be written as it was read.

Issued tickets, also with a dot in the start id, are parsed to themselves.

Why it works: entries write a ticket in one way only.

--- a/oleanderbay/request/keys.py
+++ b/oleanderbay/request/keys.py
@@ -65,7 +65,10 @@
         return None
     if issued_ms < 0 or len(text) > 2 * MAX_KEY_LENGTH:
         return None
-    return Ticket(start_id=parts[2], issued_ms=issued_ms, nonce=parts[1])
+    ticket = Ticket(start_id=parts[2], issued_ms=issued_ms, nonce=parts[1])
+    # int() also accepts signs, prefixes, underscores and digits of other
+    # scripts, which no entry writes.
+    return ticket if str(ticket) == text else None
 
 
 def parse_key(
--- a/tests/request/test_keys.py
+++ b/tests/request/test_keys.py
@@ -30,6 +30,26 @@
 )
 def test_malformed_ticket_is_refused_as_not_run(value):
     """As a key without a ticket, it would be claimed in the log instead."""
+    _assert_refused(value)
+
+
+@pytest.mark.parametrize(
+    "issued",
+    ["+1", "0x1", "1_0", " 1", "1 ", "01", "A", "\u0661", "\uff11", "-0", ""],
+)
+def test_a_ticket_has_one_spelling(issued):
+    """Other spellings of the number were tickets that no entry had issued."""
+    assert keys.parse_ticket(f"tk.{issued}.n.s1") is None
+    _assert_refused(f"tk.{issued}.n.s1:k")
+
+
+@pytest.mark.parametrize("issued_ms", [0, 1, 16, 171, 2**53])
+def test_an_issued_ticket_is_parsed(issued_ms):
+    ticket = keys.Ticket(start_id="s.1", issued_ms=issued_ms, nonce="n")
+    assert keys.parse_ticket(str(ticket)) == ticket
+
+
+def _assert_refused(value):
     refused = keys.parse_key("scope", value, issued_header="1")
     assert isinstance(refused, outcome.Refusal)
     assert refused.outcome is outcome.Outcome.NOT_RUN
