Keep no empty chunks of responses above the limit for replay

What callers saw: nothing; an entry's memory grew with the number of writes of a long response to a request with a key, although its body is not stored.

Cause: the sink cut each chunk to what was left of the limit, and kept the cut chunk also when nothing was left.

Change: empty chunks are not kept.

Evidence: 10,000 writes of 100 bytes with a limit of 250, and 10,000 empty writes, left 10,000 chunks each; now at most 3. Bodies up to the limit are stored whole, and one byte more still shows that a body is too large.

Measured result: tests of keyed requests, idempotency and the log of claims pass.

Why it works: each kept chunk has at least one byte of the limit.

--- a/oleanderbay/request/keyed_requests.py
+++ b/oleanderbay/request/keyed_requests.py
@@ -143,8 +143,10 @@
         """Writes a chunk of the body."""
         # One byte more than the limit is enough to detect that the body is
         # too large to store.
-        self.chunks.append(data[: self.max_bytes + 1 - self.size])
-        self.size += len(self.chunks[-1])
+        kept = data[: self.max_bytes + 1 - self.size]
+        if kept:
+            self.chunks.append(kept)
+            self.size += len(kept)
         await self._write_to_caller(self.sink.write(data))
 
     async def end(self) -> None:
