Take no retry from the budget for a body that is gone

What callers saw: each failed request with a streamed body, which can't be sent again, used up one retry of its route, so that other requests of the route were refused although they could have been repeated. If the upstream had refused to run it, the answer was 502 with `upstream_failed` beside the outcome `not-run`.

Cause: the pipeline asked whether the body can be sent again after the policy had decided, and the policy takes a token as it decides.

Change: the policy decides that too, before it takes a token. Its refusal is that of any other attempt that is not repeated: 503 with `upstream_refused` if nothing ran.

The policy takes none unless nothing was sent.

Why it works: the token is taken in the last step before a retry is returned.

--- a/oleanderbay/request/pipeline.py
+++ b/oleanderbay/request/pipeline.py
@@ -222,16 +222,10 @@
                 call.service.resumable and call.stream,
                 deps.clock.now_ms(),
                 call.deadline_at_ms,
+                body_replayable=call.body_replayable,
             )
             if isinstance(decision, outcome.Refusal):
                 return decision
-            if not call.body_replayable and result is not retry.Result.NOT_SENT:
-                return outcome.Refusal(
-                    reason=outcome.Reason.UPSTREAM_FAILED,
-                    outcome=run.outcome_without_response,
-                    message=f"{failure.message}; the body can't be sent again",
-                    status=502,
-                )
             if run.event_filter is not None and run.event_filter.next_position:
                 deps.telemetry.instruments.resumed.add(1)
             await deps.clock.sleep_ms(decision.delay_ms)
--- a/oleanderbay/request/retry.py
+++ b/oleanderbay/request/retry.py
@@ -124,6 +124,8 @@
         resumable: bool,
         now_ms: int,
         deadline_ms: int,
+        *,
+        body_replayable: bool = True,
     ) -> Retry | outcome.Refusal:
         """Decides how to proceed after the newest attempt has failed.
 
@@ -138,6 +140,9 @@
             return self._give_up(
                 attempts, "the answer broke off and cannot be resumed"
             )
+        # A body that is streamed may have been read unless nothing was sent.
+        if not body_replayable and last.result is not Result.NOT_SENT:
+            return self._give_up(attempts, "the body can't be sent again")
         if len(attempts) >= self.settings.max_attempts:
             return self._give_up(attempts, "all attempts failed")
         ceiling_ms = min(
--- a/tests/request/test_pipeline.py
+++ b/tests/request/test_pipeline.py
@@ -345,3 +345,23 @@
         answer = await path.call("/s/once/x", data=b"b")
         assert answer[0] == 503 and _reported_outcome(answer) == "not-run"
         assert not service.executions and not path.eligible.suspected
+
+
+async def test_a_streamed_body_takes_no_retry_of_the_budget():
+    """A failed request that can't be repeated used up a repeat of another."""
+    async with (
+        serving_path.running() as path,
+        serving_path.plain_service(path, count=2) as services,
+    ):
+        for service in services:
+            service.faults["lose_answer"] = 9
+
+        async def body():
+            yield b"b" * 5_000
+
+        policy = path.served.pipeline.deps.retry_policy
+        answer = await path.call("/s/plain/x", data=body())
+        (budget,) = policy._budgets.values()
+        assert budget.tokens == budget.burst
+        assert answer[0] == 502 and _reported_outcome(answer) == "unknown"
+        assert sum(len(service.executions) for service in services) == 1
--- a/tests/request/test_retry.py
+++ b/tests/request/test_retry.py
@@ -115,3 +115,23 @@
     assert retries.hedge_after_ms(True, False, 50, 0, 1_000) is None
     assert retries.hedge_after_ms(True, True, 600, 0, 1_000) is None
     assert retries.hedge_after_ms(True, True, 0, 0, 1_000) is None
+
+
+@pytest.mark.parametrize(
+    ("result", "retried"),
+    [(R.NOT_SENT, True), (R.REFUSED, False), (R.FAILED, False)],
+)
+def test_a_body_that_is_gone_takes_no_retry_of_the_budget(result, retried):
+    """Such requests used up the retries of requests that can be repeated."""
+    policy = retry.RetryPolicy(random.Random(1))
+    before = policy.budget_for("r").tokens
+    decision = policy.decide(
+        "r", [attempt(result)], True, False, 0, 10_000, body_replayable=False
+    )
+    assert isinstance(decision, retry.Retry) is retried
+    assert policy.budget_for("r").tokens == before - retried
+    if not retried:
+        not_run = result is R.REFUSED
+        assert (decision.outcome is outcome.Outcome.NOT_RUN) is not_run
+        assert decision.status == (503 if not_run else 502)
+        assert "the body can't be sent again" in decision.message
