Pass on how long upstreams ask callers to stay away

What callers saw: a refused request came with a Retry-After of a second or less although all upstreams that had refused it asked for more, so callers came back in vain.

Cause: `retry.Attempt.retry_after_ms` was never set; no code read the header.

A refusal after the last attempt states it, as the policy already did with the value, and so does one for lack of a further upstream, with the shortest delay of those that were tried.

Seven texts that are no such number are still answered with 1.

--- a/oleanderbay/request/attempt.py
+++ b/oleanderbay/request/attempt.py
@@ -1,6 +1,7 @@
 """One attempt of a request at one upstream."""
 
 import dataclasses
+import re
 from collections.abc import Mapping
 
 from oleanderbay.connection import caller as callers
@@ -12,6 +13,9 @@
 
 ATTEMPT = "Oleanderbay-Attempt"
 RESUME_FROM = "Oleanderbay-Resume-From"
+RETRY_AFTER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+# Longest delay that is passed on to callers.
+MAX_RETRY_AFTER_MS = 3_600_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -75,6 +79,7 @@
             about the upstream.
         expired: Whether the permission to send the request ran out before it
             was sent.
+        retry_after_ms: Delay that the upstream asked for; 0 if none.
     """
 
     outcome: outcome.Outcome
@@ -83,6 +88,7 @@
     stalled: bool = False
     stale_connection: bool = False
     expired: bool = False
+    retry_after_ms: int = 0
 
 
 async def send_request(
@@ -148,6 +154,16 @@
     return _classify_response(exchange, call, names_request)
 
 
+def parse_retry_after(text: str) -> int:
+    """Returns the delay of a Retry-After in seconds, in ms; 0 if it has none.
+
+    Dates are ignored, as the clock of an upstream may differ.
+    """
+    if not RETRY_AFTER.fullmatch(text):
+        return 0
+    return min(MAX_RETRY_AFTER_MS, round(1_000 * float(text)))
+
+
 def _classify_response(
     exchange: connections.Exchange, call: CallerRequest, names_request: bool
 ) -> connections.Exchange | FailedAttempt:
@@ -167,6 +183,9 @@
                 outcome.Outcome.NOT_RUN if refused else outcome.Outcome.UNKNOWN
             ),
             message=f"the upstream answered with status {exchange.status}",
+            retry_after_ms=parse_retry_after(
+                exchange.headers.get("Retry-After", "")
+            ),
         )
         exchange.abort()
         return failure
--- a/oleanderbay/request/pipeline.py
+++ b/oleanderbay/request/pipeline.py
@@ -197,8 +197,13 @@
         while True:
             permit = await self._acquire_permit(run, prefix)
             if isinstance(permit, outcome.Refusal):
+                # Callers need not come back before any upstream that has
+                # refused the request takes it.
+                asked_ms = min((a.retry_after_ms for a in attempts), default=0)
                 return dataclasses.replace(
-                    permit, outcome=run.outcome_without_response
+                    permit,
+                    outcome=run.outcome_without_response,
+                    retry_after_ms=max(permit.retry_after_ms, asked_ms),
                 )
             slot.mark_selected()
             failure = await self._run_attempt(
@@ -212,7 +217,11 @@
                 )
             result = _classify_failure(failure, run, sink)
             attempts.append(
-                retry.Attempt(upstream=permit.upstream.id, result=result)
+                retry.Attempt(
+                    upstream=permit.upstream.id,
+                    result=result,
+                    retry_after_ms=failure.retry_after_ms,
+                )
             )
             self._record_failure(run, permit.upstream, failure)
             decision = deps.retry_policy.decide(
--- a/tests/request/test_pipeline.py
+++ b/tests/request/test_pipeline.py
@@ -365,3 +365,36 @@
         assert budget.tokens == budget.burst
         assert answer[0] == 502 and _reported_outcome(answer) == "unknown"
         assert sum(len(service.executions) for service in services) == 1
+
+
+@pytest.mark.parametrize(
+    ("stated", "seconds"),
+    [
+        ("7", 7),
+        ("2.5", 3),
+        ("999999999", 3_600),
+        # Without a usable delay, the usual one holds.
+        ("", 1),
+        ("-7", 1),
+        ("+7", 1),
+        ("1e9", 1),
+        ("inf", 1),
+        ("\u0667", 1),
+        ("Sun, 06 Dec 2026 06:00:00 GMT", 1),
+    ],
+)
+async def test_callers_come_back_when_the_upstreams_asked_them_to(
+    stated, seconds
+):
+    """The delay of an upstream was ignored, so callers came back too soon."""
+    head = (
+        "HTTP/1.1 503 Busy\r\nOleanderbay-Outcome: not-run\r\n"
+        f"Retry-After: {stated}\r\nContent-Length: 0\r\n\r\n"
+    )
+    upstream = await _raw_upstream([head.encode()] * 9)
+    async with serving_path.running() as path, upstream:
+        host, port = upstream.sockets[0].getsockname()
+        path.eligible.put("plain", f"{host}:{port}")
+        answer = await path.call("/s/plain/x", data=b"b")
+        assert answer[0] == 503 and _reported_outcome(answer) == "not-run"
+        assert answer[1]["Retry-After"] == str(seconds)
