Count a fault of the entry as one, not as a caller that left

What callers saw: nothing else; operators saw `cancelled` in metrics and in the line "request ended" for requests that ended with an exception of the entry itself.

Change: a cancelled task and a broken connection count as `cancelled`, any other exception as `fault`, as at gateways. The exception is raised on as before.

Evidence: four other exceptions on a real request path were logged as `cancelled` before and are logged as `fault` now; a cancelled task and a reset connection are still `cancelled`.

Why it works: the listener cancels the task of a caller that has left, and writing to such a caller raises ConnectionError.

--- a/oleanderbay/gateway/telemetry.py
+++ b/oleanderbay/gateway/telemetry.py
@@ -314,7 +314,11 @@
             disconnected = issubclass(
                 kind, (asyncio.CancelledError, ConnectionError)
             )
-            reason = outcome.Reason.CANCELLED.value if disconnected else "fault"
+            reason = (
+                outcome.Reason.CANCELLED.value
+                if disconnected
+                else outcome.Reason.FAULT.value
+            )
         elif self.refusal is not None:
             outcome_label = self.refusal.outcome.value
             reason = self.refusal.reason.value
--- a/oleanderbay/request/outcome.py
+++ b/oleanderbay/request/outcome.py
@@ -36,6 +36,7 @@
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_REFUSED = "upstream_refused"
     CANCELLED = "cancelled"
+    FAULT = "fault"
     QUARANTINED = "quarantined"
 
 
--- a/oleanderbay/request/pipeline.py
+++ b/oleanderbay/request/pipeline.py
@@ -1,5 +1,6 @@
 """Runs one caller request from admission to the end of its response."""
 
+import asyncio
 import dataclasses
 from collections.abc import Callable, Mapping, Sequence
 
@@ -131,7 +132,7 @@
             )
         labels = {"service": call.service.name}
         deps.telemetry.instruments.in_progress.add(1, labels)
-        refusal: outcome.Refusal | None = _cancelled_refusal(run)
+        refusal: outcome.Refusal | None = None
         try:
             with deps.telemetry.hop(
                 "request",
@@ -144,9 +145,13 @@
                 await self._end_stream_with_error(run, sink, refusal)
                 return None
             return refusal
-        except BaseException:
+        except (asyncio.CancelledError, ConnectionError):
+            # The listener cancels the task when the caller disconnects.
             refusal = _cancelled_refusal(run)
             raise
+        except BaseException as error:
+            refusal = _fault_refusal(run, error)
+            raise
         finally:
             deps.telemetry.instruments.in_progress.add(-1, labels)
             self._record_end(run, refusal, deps.clock.now_ms() - started_ms)
@@ -440,3 +445,14 @@
         message="the caller left",
         status=499,
     )
+
+
+def _fault_refusal(
+    run: delivery.RequestState, error: BaseException
+) -> outcome.Refusal:
+    return outcome.Refusal(
+        reason=outcome.Reason.FAULT,
+        outcome=run.outcome_without_response,
+        message=f"the entry failed: {type(error).__name__}",
+        status=500,
+    )
--- a/tests/request/test_pipeline.py
+++ b/tests/request/test_pipeline.py
@@ -1,9 +1,12 @@
 """Tests of the request pipeline with failing upstreams."""
 
 import asyncio
+import contextlib
 import json
 
+import aiohttp
 import pytest
+import structlog
 
 from oleanderbay.standins import tokens
 from tests import serving_path
@@ -398,3 +401,37 @@
         answer = await path.call("/s/plain/x", data=b"b")
         assert answer[0] == 503 and _reported_outcome(answer) == "not-run"
         assert answer[1]["Retry-After"] == str(seconds)
+
+
+@pytest.mark.parametrize(
+    ("error", "reason"),
+    [
+        (asyncio.CancelledError, "cancelled"),
+        (ConnectionResetError, "cancelled"),
+        (RuntimeError, "fault"),
+        (KeyError, "fault"),
+        (AssertionError, "fault"),
+        (OSError, "fault"),
+    ],
+)
+async def test_a_fault_of_the_entry_is_not_counted_as_a_caller_that_left(
+    error, reason, monkeypatch
+):
+    """Operators saw callers that leave where the entry itself failed."""
+
+    async def fail(*_):
+        raise error
+
+    async with (
+        serving_path.running() as path,
+        serving_path.plain_service(path),
+    ):
+        monkeypatch.setattr(path.served.pipeline, "_run_admitted", fail)
+        with (
+            structlog.testing.capture_logs() as lines,
+            contextlib.suppress(aiohttp.ClientError),
+        ):
+            await path.call("/s/plain/x", data=b"b")
+        (line,) = [x for x in lines if x["event"] == "request ended"]
+        assert line["reason"] == reason
+        assert line["outcome"] == "not-run"
