Give the remainder of a fair share by requests in flight

What callers saw: with a limit of 2 and three entries that want 4 permits each, the one with 2 requests in flight got none, and one that was never granted any may get none for as long as the others want more.

Cause: the division gave its remainder to the holders at the end of the order, in which those with the most requests in flight and the oldest grant come first.

Change: the division ends at the level that all unsatisfied holders get alike. What is left goes by requests in flight, then by the oldest grant, as the code said it should.

In 2,000 drawn cases the shares add up to the limit, no holder gets more than it wants, and an unsatisfied one is at most 1 below any other.

Why it works: the level depends on what is wanted only, so the order decides over the remainder alone.

--- a/oleanderbay/process/permits/issuer.py
+++ b/oleanderbay/process/permits/issuer.py
@@ -211,20 +211,21 @@
         limit: int,
     ) -> int:
         """Returns a holder's max-min fair share of the limit."""
-        # Of holders with equal shares, those with the most requests in flight
-        # should come first, since they cannot give those up, then those whose
-        # last grant is oldest.
         order = sorted(
-            owned.holders.values(),
-            key=lambda h: (h.wanted, -h.in_flight, h.granted_ms),
+            (h for h in owned.holders.values() if h.wanted),
+            key=lambda h: h.wanted,
         )
-        order = [h for h in order if h.wanted]
-        left = limit
-        shares: dict[int, int] = {}
+        left, level = limit, 0
         for index, other in enumerate(order):
-            share = min(other.wanted, left // (len(order) - index))
-            shares[id(other)] = share
-            left -= share
+            level = left // (len(order) - index)
+            if other.wanted > level:
+                break
+            left -= other.wanted
+        shares = {id(h): min(h.wanted, level) for h in order}
+        left = limit - sum(shares.values())
+        # What is left of the division goes first to the holders with the most
+        # requests in flight, since they cannot give those up, then to those
+        # whose last grant is oldest.
         for other in sorted(order, key=lambda h: (-h.in_flight, h.granted_ms)):
             if left and shares[id(other)] < other.wanted:
                 shares[id(other)] += 1
--- a/tests/process/permits/test_issuer.py
+++ b/tests/process/permits/test_issuer.py
@@ -1,6 +1,11 @@
 """Tests that all owners together grant no more than the limit."""
 
-from oleanderbay.process.permits import messages, ownership
+import random
+import types
+
+import pytest
+
+from oleanderbay.process.permits import messages, owner_state, ownership
 from oleanderbay.request import outcome
 from tests.process.permits import permit_harness
 
@@ -137,3 +142,50 @@
     harness.engines["g0"].restart()
     await harness.advance(600)
     assert issuer.limit("g0") == 2
+
+
+def _shares(harness, holders, limit):
+    """Returns the fair shares of holders by wanted, in flight and granted."""
+    states = []
+    for wanted, in_flight, granted_ms in holders:
+        state = owner_state.HolderState()
+        state.wanted, state.in_flight = wanted, in_flight
+        state.granted_ms = granted_ms
+        states.append(state)
+    owned = types.SimpleNamespace(holders=dict(enumerate(states)))
+    issuer = harness.permits["s0"].issuer
+    return [issuer._fair_share(owned, state, limit) for state in states]
+
+
+@pytest.mark.parametrize(
+    ("holders", "limit", "shares"),
+    [
+        # Requests in flight can't be given up; then the oldest grant counts.
+        ([(4, 2, 50), (4, 0, 40), (4, 0, -1)], 2, [1, 0, 1]),
+        ([(4, 0, 50), (4, 0, 40), (4, 0, -1)], 2, [0, 1, 1]),
+        ([(4, 0, 50), (4, 0, 40), (4, 0, -1)], 1, [0, 0, 1]),
+        ([(4, 0, 9), (1, 0, 9), (4, 0, 8)], 6, [2, 1, 3]),
+        ([(4, 0, 9), (0, 0, -1)], 2, [2, 0]),
+        ([(1, 0, 9), (1, 0, 8)], 8, [1, 1]),
+    ],
+)
+async def test_the_remainder_goes_by_need(harness, holders, limit, shares):
+    """It went to the last holders, so one with 2 in flight got nothing."""
+    assert _shares(harness, holders, limit) == shares
+
+
+async def test_fair_shares_use_the_limit_and_differ_by_one(harness):
+    """Guards against permits that are lost, or granted twice, by rounding."""
+    rng = random.Random(1)
+    for _ in range(2_000):
+        holders = [
+            (rng.randrange(6), rng.randrange(4), rng.randrange(-1, 9))
+            for _ in range(rng.randrange(1, 6))
+        ]
+        limit = rng.randrange(12)
+        shares = _shares(harness, holders, limit)
+        wanted = [holder[0] for holder in holders]
+        assert sum(shares) == min(limit, sum(wanted))
+        short = [s for s, w in zip(shares, wanted, strict=True) if s < w]
+        assert all(s <= w for s, w in zip(shares, wanted, strict=True))
+        assert not short or max(shares) - min(short) <= 1
