Tell holders of a reset that a request of permits has found

What callers saw: after an upstream had turned cold, entries could send it as many requests as it bears when warm, until their permits expired.

Cause: a request of permits applies load reports too, and dropped the result. The periodic look for resets then found the limit already reset and revoked nothing.

Change: a reset is noted with the upstream until the holders have been told.

Evidence: a restart that a request of permits finds first was in no revocation before; now the next one names its holders, once.

Why it works: both ways set the same mark, and only telling the holders clears it.

--- a/oleanderbay/process/permits/issuer.py
+++ b/oleanderbay/process/permits/issuer.py
@@ -74,7 +74,9 @@
         self.check_majority()
         revoked = {}
         for id, owned in self._owned.items():
-            if self._update_limit(owned):
+            self._update_limit(owned)
+            if owned.was_reset:
+                owned.was_reset = False
                 revoked[id] = list(owned.holders)
         return revoked
 
@@ -154,12 +156,12 @@
         self._update_limit(owned)
         return owned
 
-    def _update_limit(self, owned: owner_state.OwnedUpstream) -> bool:
-        reset = owned.limit.update_upstream(owned.upstream)
+    def _update_limit(self, owned: owner_state.OwnedUpstream) -> None:
+        if owned.limit.update_upstream(owned.upstream):
+            owned.was_reset = True
         load = self.eligible.load(owned.upstream.id)
-        if load is not None:
-            reset = owned.limit.apply_load_report(load) or reset
-        return reset
+        if load is not None and owned.limit.apply_load_report(load):
+            owned.was_reset = True
 
     def _grant(
         self,
--- a/oleanderbay/process/permits/owner_state.py
+++ b/oleanderbay/process/permits/owner_state.py
@@ -111,6 +111,7 @@
         orphans: Upper bound of the requests at the upstream that belong to no
             known holder; None while unknown.
         orphans_from_ms: Time from which on load reports can lower `orphans`.
+        was_reset: Whether the limit was reset and the holders were not told.
     """
 
     def __init__(self, upstream: interfaces.Upstream, since_ms: int) -> None:
@@ -121,6 +122,7 @@
         self.holders: dict[str, HolderState] = {}
         self.orphans: int | None = None
         self.orphans_from_ms = -1
+        self.was_reset = False
 
     def update_orphans(
         self,
--- a/tests/process/permits/test_issuer.py
+++ b/tests/process/permits/test_issuer.py
@@ -144,6 +144,32 @@
     assert issuer.limit("g0") == 2
 
 
+def _request(wanted, in_flight=0):
+    tag = messages.start_tag("")
+    return messages.PermitRequest("g0", tag, wanted, in_flight)
+
+
+async def test_holders_are_told_of_a_reset_that_a_request_has_found(harness):
+    """They kept the permits of a warm upstream until these expired.
+
+    The load report of the restart was applied while a request of permits was
+    answered, and the next look for resets found none.
+    """
+    await harness.wait_for_grants()
+    await permit_harness.warm_up(harness)
+    issuer = harness.permits[permit_harness.owner_id(harness)].issuer
+    service = harness.fleet.list["g0"].service
+    holder, other = permit_harness.non_owner_ids(harness)
+    granted = issuer.handle_requests(holder, 10**6, service, [_request(8)])
+    assert granted["g0"].count
+    harness.engines["g0"].restart()
+    harness.engines["g0"].report()
+    issuer.handle_requests(other, 10**6, service, [_request(1)])
+    assert issuer.limit("g0") == 2
+    assert holder in issuer.collect_revocations()["g0"]
+    assert issuer.collect_revocations() == {}
+
+
 def _shares(harness, holders, limit):
     """Returns the fair shares of holders by wanted, in flight and granted."""
     states = []
