--- a/oleanderbay/gateway/formation.py
+++ b/oleanderbay/gateway/formation.py
@@ -30,6 +30,12 @@
 FORMATION_TIMEOUT_FACTOR = 3
 # Loads before the first request take this part of the usual time.
 EARLY_LOAD_SHARE = 0.1
+# How long it is kept what was staged on a worker without a record. Records
+# expire while the store is down and return; the load goes on meanwhile.
+MISSING_RECORD_MS = 30_000
+# Time after which a model that was not staged on a worker may be again. Orders
+# are priced, and a worker may refuse them for as long as it loads.
+STAGING_RETRY_MS = 5_000
 # Low bits of an epoch that count the groups of one generation of ownership.
 EPOCH_COUNTER_BITS = 16
 
@@ -75,17 +81,29 @@
         self.name_prefix = name_prefix
         self.forming: dict[Key, table.Model] = {}
         self.joining: dict[str, str] = {}
-        # Model last staged, by worker id and start time of the worker.
+        # Model last staged, by worker id and start time of the worker, and the
+        # time at which those without a record were last seen.
         self._staging_requests: dict[tuple[str, int], str] = {}
+        self._missing_since_ms: dict[tuple[str, int], int] = {}
         self._group_count = 0
+        # Generation of ownership in which the last group was planned.
+        self._last_generation = -1
 
     def begin(self, planned: planner.PlannedGroup) -> None:
-        """Starts to form a group under a name and epoch never used before."""
-        self._group_count += 1
+        """Starts to form a group under a name and epoch never used before.
+
+        If the epochs of the generation of ownership are used up, the group is
+        left to be planned again in a new one.
+        """
         generation = self.sender.ownership.generation
-        epoch = (generation << EPOCH_COUNTER_BITS) | (
-            self._group_count & ((1 << EPOCH_COUNTER_BITS) - 1)
-        )
+        counter = (self._group_count + 1) & ((1 << EPOCH_COUNTER_BITS) - 1)
+        if counter == 0 and generation <= self._last_generation:
+            log.info("epochs used up", generation=generation)
+            self.sender.ownership.renew()
+            return
+        self._group_count += 1
+        self._last_generation = generation
+        epoch = (generation << EPOCH_COUNTER_BITS) | counter
         key = (f"{self.name_prefix}-{epoch}", epoch)
         log.info(
             "group planned",
@@ -111,10 +129,32 @@
         return self.tasks.running(("adopt", key))
 
     def staging_requested(self, worker: workers.Worker, model: str) -> bool:
-        """Whether a model is the last one staged on this run of a worker."""
-        return (
-            self._staging_requests.get((worker.id, worker.started_ms)) == model
-        )
+        """Whether a model is the last one staged on this run of a worker.
+
+        While an order is sent, or failed a moment ago, there is no other one.
+        """
+        incarnation = (worker.id, worker.started_ms)
+        return self._staging_requests.get(
+            incarnation
+        ) == model or self.tasks.running(("stage", *incarnation))
+
+    def forget_gone_workers(self) -> None:
+        """Forgets what was staged on workers that are gone or restarted."""
+        now_ms = self.clock.now_ms()
+        missing = {
+            incarnation: self._missing_since_ms.get(incarnation, now_ms)
+            for incarnation in self._staging_requests
+            if not self._is_registered(*incarnation)
+        }
+        for incarnation, since_ms in tuple(missing.items()):
+            if now_ms - since_ms >= MISSING_RECORD_MS:
+                del self._staging_requests[incarnation]
+                del missing[incarnation]
+        self._missing_since_ms = missing
+
+    def _is_registered(self, worker_id: str, started_ms: int) -> bool:
+        worker = self.gateway_state.workers.get(worker_id)
+        return worker is not None and worker.started_ms == started_ms
 
     def stage(self, worker: workers.Worker, model: table.Model) -> None:
         """Makes a worker load a model onto its host."""
@@ -374,6 +414,8 @@
             )
         except fenced_orders.OrderError as error:
             log.info("model not staged", worker=worker.id, error=str(error))
+            await self.clock.sleep_ms(STAGING_RETRY_MS)
+            self._staging_requests.pop((worker.id, worker.started_ms), None)
 
 
 async def _all_accepted(orders: Iterable[Awaitable[None]]) -> None:
--- a/oleanderbay/request/pipeline.py
+++ b/oleanderbay/request/pipeline.py
@@ -1,5 +1,6 @@
 """Runs one caller request from admission to the end of its response."""
 
+import asyncio
 import dataclasses
 from collections.abc import Callable, Mapping, Sequence
 
@@ -131,7 +132,7 @@
             )
         labels = {"service": call.service.name}
         deps.telemetry.instruments.in_progress.add(1, labels)
-        refusal: outcome.Refusal | None = _cancelled_refusal(run)
+        refusal: outcome.Refusal | None = None
         try:
             with deps.telemetry.hop(
                 "request",
@@ -144,9 +145,13 @@
                 await self._end_stream_with_error(run, sink, refusal)
                 return None
             return refusal
-        except BaseException:
+        except (asyncio.CancelledError, ConnectionError):
+            # The listener cancels the task when the caller disconnects.
             refusal = _cancelled_refusal(run)
             raise
+        except BaseException as error:
+            refusal = _fault_refusal(run, error)
+            raise
         finally:
             deps.telemetry.instruments.in_progress.add(-1, labels)
             self._record_end(run, refusal, deps.clock.now_ms() - started_ms)
@@ -197,8 +202,13 @@
         while True:
             permit = await self._acquire_permit(run, prefix)
             if isinstance(permit, outcome.Refusal):
+                # Callers need not come back before any upstream that has
+                # refused the request takes it.
+                asked_ms = min((a.retry_after_ms for a in attempts), default=0)
                 return dataclasses.replace(
-                    permit, outcome=run.outcome_without_response
+                    permit,
+                    outcome=run.outcome_without_response,
+                    retry_after_ms=max(permit.retry_after_ms, asked_ms),
                 )
             slot.mark_selected()
             failure = await self._run_attempt(
@@ -212,7 +222,11 @@
                 )
             result = _classify_failure(failure, run, sink)
             attempts.append(
-                retry.Attempt(upstream=permit.upstream.id, result=result)
+                retry.Attempt(
+                    upstream=permit.upstream.id,
+                    result=result,
+                    retry_after_ms=failure.retry_after_ms,
+                )
             )
             self._record_failure(run, permit.upstream, failure)
             decision = deps.retry_policy.decide(
@@ -222,16 +236,10 @@
                 call.service.resumable and call.stream,
                 deps.clock.now_ms(),
                 call.deadline_at_ms,
+                body_replayable=call.body_replayable,
             )
             if isinstance(decision, outcome.Refusal):
                 return decision
-            if not call.body_replayable and result is not retry.Result.NOT_SENT:
-                return outcome.Refusal(
-                    reason=outcome.Reason.UPSTREAM_FAILED,
-                    outcome=run.outcome_without_response,
-                    message=f"{failure.message}; the body can't be sent again",
-                    status=502,
-                )
             if run.event_filter is not None and run.event_filter.next_position:
                 deps.telemetry.instruments.resumed.add(1)
             await deps.clock.sleep_ms(decision.delay_ms)
@@ -437,3 +445,14 @@
         message="the caller left",
         status=499,
     )
+
+
+def _fault_refusal(
+    run: delivery.RequestState, error: BaseException
+) -> outcome.Refusal:
+    return outcome.Refusal(
+        reason=outcome.Reason.FAULT,
+        outcome=run.outcome_without_response,
+        message=f"the entry failed: {type(error).__name__}",
+        status=500,
+    )
--- a/tests/gateway/test_controller.py
+++ b/tests/gateway/test_controller.py
@@ -1,11 +1,13 @@
 """Tests of forming and repairing groups with simulated workers."""
 
 import pytest
+import structlog
 
-from oleanderbay.gateway import interfaces
+from oleanderbay.gateway import formation, interfaces
 from tests.gateway import group_simulation, parts
 
 RESULT = interfaces.OrderResult
+PLANNED = "group planned"
 
 
 @pytest.fixture
@@ -157,6 +159,32 @@
     assert [epoch for _, epoch in seen] == sorted({e for _, e in seen})
 
 
+async def test_epochs_do_not_repeat_when_their_counter_is_used_up(
+    simulation, monkeypatch
+):
+    """The counter began again in the same generation of ownership."""
+    monkeypatch.setattr(formation, "EPOCH_COUNTER_BITS", 2)
+    store = simulation.store
+
+    async def leave(member):
+        store.generation += 1
+        # An answer that is lost must not end the renewal.
+        if store.generation % 2:
+            raise interfaces.StoreError("lost")
+
+    monkeypatch.setattr(store, "leave", leave)
+    simulation.results["join", "b"] = RESULT.CONFLICT
+    simulation.add("a")
+    simulation.add("b")
+    with structlog.testing.capture_logs() as lines:
+        for _ in range(60):
+            await simulation.clock.advance(1_000)
+    planned = [line["group"] for line in lines if line["event"] == PLANNED]
+    assert len(planned) > 10
+    epochs = [int(name.rpartition("-")[2]) for name in planned]
+    assert epochs == sorted(set(epochs))
+
+
 # An owner that was partitioned kept workers lost for all gateways, as it gave
 # their domain up before they answered again.
 async def test_a_worker_is_probed_again_by_the_gateway_that_found_it_lost(
@@ -182,3 +210,20 @@
     assert health.lost == {"a": 0} and health.report()["lost"] == {"a": 0}
     health.partitioned = lambda: True
     assert health.report()["lost"] == {}
+
+
+async def test_a_model_that_was_not_staged_may_be_staged_later(simulation):
+    """One failed order kept a model from a worker's host for good."""
+    simulation.add("a")
+    simulation.results["stage", "a"] = RESULT.CONFLICT
+    await simulation.clock.advance(4_000)
+    attempts = len(simulation.orders("stage"))
+    assert attempts
+    # Orders are priced, so it is not asked for again at once.
+    await simulation.clock.advance(12_000)
+    assert 2 * attempts <= len(simulation.orders("stage")) <= 3 * attempts
+    del simulation.results["stage", "a"]
+    await simulation.clock.advance(12_000)
+    attempts = len(simulation.orders("stage"))
+    await simulation.clock.advance(20_000)
+    assert len(simulation.orders("stage")) == attempts
--- a/tests/request/test_pipeline.py
+++ b/tests/request/test_pipeline.py
@@ -1,9 +1,12 @@
 """Tests of the request pipeline with failing upstreams."""
 
 import asyncio
+import contextlib
 import json
 
+import aiohttp
 import pytest
+import structlog
 
 from oleanderbay.standins import tokens
 from tests import serving_path
@@ -345,3 +348,90 @@
         answer = await path.call("/s/once/x", data=b"b")
         assert answer[0] == 503 and _reported_outcome(answer) == "not-run"
         assert not service.executions and not path.eligible.suspected
+
+
+async def test_a_streamed_body_takes_no_retry_of_the_budget():
+    """A failed request that can't be repeated used up a repeat of another."""
+    async with (
+        serving_path.running() as path,
+        serving_path.plain_service(path, count=2) as services,
+    ):
+        for service in services:
+            service.faults["lose_answer"] = 9
+
+        async def body():
+            yield b"b" * 5_000
+
+        policy = path.served.pipeline.deps.retry_policy
+        answer = await path.call("/s/plain/x", data=body())
+        (budget,) = policy._budgets.values()
+        assert budget.tokens == budget.burst
+        assert answer[0] == 502 and _reported_outcome(answer) == "unknown"
+        assert sum(len(service.executions) for service in services) == 1
+
+
+@pytest.mark.parametrize(
+    ("stated", "seconds"),
+    [
+        ("7", 7),
+        ("2.5", 3),
+        ("999999999", 3_600),
+        # Without a usable delay, the usual one holds.
+        ("", 1),
+        ("-7", 1),
+        ("+7", 1),
+        ("1e9", 1),
+        ("inf", 1),
+        ("\u0667", 1),
+        ("Sun, 06 Dec 2026 06:00:00 GMT", 1),
+    ],
+)
+async def test_callers_come_back_when_the_upstreams_asked_them_to(
+    stated, seconds
+):
+    """The delay of an upstream was ignored, so callers came back too soon."""
+    head = (
+        "HTTP/1.1 503 Busy\r\nOleanderbay-Outcome: not-run\r\n"
+        f"Retry-After: {stated}\r\nContent-Length: 0\r\n\r\n"
+    )
+    upstream = await _raw_upstream([head.encode()] * 9)
+    async with serving_path.running() as path, upstream:
+        host, port = upstream.sockets[0].getsockname()
+        path.eligible.put("plain", f"{host}:{port}")
+        answer = await path.call("/s/plain/x", data=b"b")
+        assert answer[0] == 503 and _reported_outcome(answer) == "not-run"
+        assert answer[1]["Retry-After"] == str(seconds)
+
+
+@pytest.mark.parametrize(
+    ("error", "reason"),
+    [
+        (asyncio.CancelledError, "cancelled"),
+        (ConnectionResetError, "cancelled"),
+        (RuntimeError, "fault"),
+        (KeyError, "fault"),
+        (AssertionError, "fault"),
+        (OSError, "fault"),
+    ],
+)
+async def test_a_fault_of_the_entry_is_not_counted_as_a_caller_that_left(
+    error, reason, monkeypatch
+):
+    """Operators saw callers that leave where the entry itself failed."""
+
+    async def fail(*_):
+        raise error
+
+    async with (
+        serving_path.running() as path,
+        serving_path.plain_service(path),
+    ):
+        monkeypatch.setattr(path.served.pipeline, "_run_admitted", fail)
+        with (
+            structlog.testing.capture_logs() as lines,
+            contextlib.suppress(aiohttp.ClientError),
+        ):
+            await path.call("/s/plain/x", data=b"b")
+        (line,) = [x for x in lines if x["event"] == "request ended"]
+        assert line["reason"] == reason
+        assert line["outcome"] == "not-run"
