Check datagrams of gateways as a whole before any part is used

A malformed heartbeat left its sender live with loads that were partly those of its former message, so that workers were chosen by them; a host with a null character in a heartbeat or a list closed the datagram socket for good, after which peers hold the gateway for gone.

Cause: peers applied a heartbeat outside the part that catches errors, after its sender had become live, and OverflowError was caught nowhere. Counts, means and ages were used as they came: text, infinite or negative numbers failed later, in the gateway's own heartbeats or summaries. A datagram with several summaries was applied up to the first bad one. asyncio closes a datagram socket if sending fails with anything but OSError. One request of 64 KB for lists was answered with a summary for each time that it named a zone.

Change: `datagrams` reads a datagram, `heartbeat_contents` and `fields` check each field for its type and range, and only then anything is applied. Malformed ones are counted, shown in /status, and logged once in 10 s. Tables of peers, zones, addresses and requested lists are bounded. Sums of zones must hold the loads that each build sends; their absence counted as none.

Why it works: what is applied has been converted in full before, and every value fits into msgpack, JSON and the sums that follow from it.

--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -388,6 +388,7 @@
             "evacuated": sorted(self.gateway_state.evacuated_zones),
             "workers": len(self.gateway_state.workers),
             "skipped_records": self.gateway_state.skipped_records,
+            "malformed_datagrams": self.peers.malformed.count,
             "generation": positions.number_in_era(
                 self.domain_ownership.generation, positions.GENERATION_BITS
             ),
@@ -521,24 +522,19 @@
     def _apply_contents(self, source: str, body: Mapping[str, Any]) -> None:
         """Applies the contents of a peer's heartbeat or a zone's summary."""
         self.shared_reads.election.update_peer(source, body)
-        self.loads.update_peer(
-            source, dict(body["in_flight"]), int(body.get("busy", 1))
-        )
-        self.demand.update_peer(source, dict(body["demand"]))
+        self.loads.update_peer(source, body["in_flight"], body["busy"])
+        self.demand.update_peer(source, body["demand"])
         self.worker_health.update_peer(
-            source, body["suspects"], body["sound"], dict(body["lost"])
+            source, body["suspects"], body["sound"], body["lost"]
         )
         self.group_controller.capacity.update_peer(
-            source, int(body["loads_begun"]), dict(body["planned"])
-        )
-        self.quarantine.update_peer(
-            dict(body.get("crashes", {})), dict(body.get("survived", {}))
+            source, body["loads_begun"], body["planned"]
         )
+        self.quarantine.update_peer(body["crashes"], body["survived"])
         self.request_quarantine.update_peer(
-            dict(body.get("request_crashes", {})),
-            dict(body.get("request_survived", {})),
+            body["request_crashes"], body["request_survived"]
         )
-        self.worker_limits.update_peer(dict(body.get("limits", {})))
+        self.worker_limits.update_peer(body["limits"])
         if body["serving"]:
             self.demand.has_traffic = True
 
--- a/oleanderbay/gateway/membership.py
+++ b/oleanderbay/gateway/membership.py
@@ -7,7 +7,7 @@
 import structlog
 import xxhash
 
-from oleanderbay.gateway import positions, summaries
+from oleanderbay.gateway import fields, heartbeat_contents, positions, summaries
 from oleanderbay.gateway import settings as settings_module
 from oleanderbay.process import clock as clocks
 
@@ -25,6 +25,11 @@
 # the setting `forget_ms` or of its longer live time.
 RETENTION_FACTOR = 10
 
+# Peers and addresses that are kept at most. Only damaged messages and records
+# name more.
+MAX_PEERS = 4_096
+MAX_ADDRESSES = 16_384
+
 log = structlog.get_logger()
 
 
@@ -47,7 +52,8 @@
         interval_ms: Time until its next heartbeat.
         uses_summaries: Whether it leaves the exchange with other zones to
             the relays.
-        heartbeat: The whole message, for peers in this gateway's zone only.
+        heartbeat: The checked contents of the message, for peers in this
+            gateway's zone only.
         loads_applied: Whether its own loads and health reports are in use,
             rather than its zone's sums.
     """
@@ -97,23 +103,25 @@
         interval_ms: Interval to assume if the message has none.
 
     Raises:
-        ValueError, KeyError, TypeError: The heartbeat is malformed.
+        One of `fields.PARSE_ERRORS`: The heartbeat is malformed.
     """
     return Peer(
-        id=body["id"],
-        start_id=body["start_id"],
-        host=body["host"],
-        zone=body["zone"],
-        callers=body["callers"],
-        ready=bool(body["ready"]),
-        leaving=bool(body["leaving"]),
+        id=fields.name(body["id"]),
+        start_id=fields.name(body["start_id"]),
+        host=fields.host(body["host"]),
+        zone=fields.name(body["zone"]),
+        callers=fields.address(body["callers"]),
+        ready=fields.flag(body["ready"]),
+        leaving=fields.flag(body["leaving"]),
         heard_ms=now_ms,
-        sequence=int(body["sequence"]),
+        sequence=fields.whole(body["sequence"]),
         offsets=positions.parse_offsets(body),
-        store_age_ms=int(body["store_age_ms"]),
-        # Gateways of earlier versions don't send the interval.
-        interval_ms=int(body.get("interval_ms", interval_ms)),
-        uses_summaries=bool(body.get("summarized", False)),
+        store_age_ms=fields.span_ms(body["store_age_ms"]),
+        # Gateways before 956922d don't send the interval.
+        interval_ms=fields.span_ms(body.get("interval_ms", interval_ms)),
+        # Gateways before c68ba70 exchange no summaries.
+        uses_summaries=fields.flag(body.get("summarized", False)),
+        heartbeat=heartbeat_contents.parse_heartbeat(body),
     )
 
 
@@ -155,10 +163,12 @@
                 return False
             if before.host != peer.host:
                 self.addresses.pop(before.host, None)
+        elif len(self.heard_peers) >= MAX_PEERS:
+            return False
         first = peer.id not in self.live
         self.heard_peers[peer.id] = peer
         self.live[peer.id] = peer
-        self.addresses[peer.host] = peer.id
+        self._keep_address(peer.host, peer.id)
         if first:
             # The peer may have been silent for too long to be counted.
             self._counted_ms = -COUNT_CACHE_MS
@@ -180,7 +190,7 @@
         if summary.gateways is not None:
             for gateway in summary.gateways:
                 if gateway.id != self.config.entry.id:
-                    self.addresses[gateway.host] = gateway.id
+                    self._keep_address(gateway.host, gateway.id)
             self._counted_ms = -COUNT_CACHE_MS
         return used
 
@@ -236,7 +246,9 @@
         return [
             ReadyGateway(gateway.id, gateway.host, zone, gateway.callers)
             for _, zone, gateway in found.values()
-            if gateway.ready and (gateway.id, gateway.start_id) not in leaving
+            if gateway.ready
+            and gateway.callers
+            and (gateway.id, gateway.start_id) not in leaving
         ]
 
     def is_gateway(self, host: str) -> bool:
@@ -287,9 +299,13 @@
     def add_address(self, host: str, peer_id: str) -> None:
         """Adds an address at which a gateway may be."""
         if peer_id != self.config.entry.id:
-            self.addresses[host] = peer_id
+            self._keep_address(host, peer_id)
             self._counted_ms = -COUNT_CACHE_MS
 
+    def _keep_address(self, host: str, peer_id: str) -> None:
+        if host in self.addresses or len(self.addresses) < MAX_ADDRESSES:
+            self.addresses[host] = peer_id
+
     def forget_addresses(self, peer_id: str) -> None:
         """Removes the addresses of a gateway, unless it is live."""
         for host, known in tuple(self.addresses.items()):
--- a/oleanderbay/gateway/peers.py
+++ b/oleanderbay/gateway/peers.py
@@ -12,8 +12,10 @@
 from oleanderbay.connection import frames
 from oleanderbay.gateway import (
     comparison,
+    datagrams,
     feed,
     fetching,
+    fields,
     membership,
     positions,
     relays,
@@ -24,7 +26,7 @@
 from oleanderbay.gateway import telemetry as telemetry_module
 from oleanderbay.process import clock as clocks
 
-PROTOCOL = 1
+PROTOCOL = datagrams.PROTOCOL
 # Longest time from a connection to its first frame.
 FIRST_FRAME_TIMEOUT_MS = 500
 
@@ -65,6 +67,7 @@
         addresses: Hosts at which gateways may be, with the gateway's id.
         fetcher: Fetches of records that peers have.
         handlers: Connection handlers by the kind of the first frame.
+        malformed: Counts the datagrams that could not be read.
     """
 
     def __init__(
@@ -104,6 +107,7 @@
             config, start_id, self.members, self.relays
         )
         self.comparison = comparison.OffsetComparison(clock, feeds)
+        self.malformed = datagrams.MalformedDatagrams(clock)
         self._leaving = False
         self._sequence = 0
         self._interval_ms = config.peers.heartbeat_ms
@@ -268,50 +272,44 @@
 
     def _received(self, data: bytes) -> None:
         try:
-            body = msgpack.unpackb(data)
-            if body["protocol"] != PROTOCOL or body["id"] == self.id:
-                return
-            if "summaries" in body:
-                self._summaries_received(body)
-                return
-            if "lists" in body:
-                if body["host"] in self.addresses:
-                    bodies = self.summary_builder.build_requested(body["lists"])
-                    self._send(body["host"], self._pack(bodies, False))
-                return
-            peer = membership.parse_heartbeat(
-                body, self.clock.now_ms(), self.config.peers.heartbeat_ms
+            message = datagrams.parse(
+                data,
+                self.id,
+                self.clock.now_ms(),
+                self.config.peers.heartbeat_ms,
             )
-        except (
-            ValueError,
-            KeyError,
-            TypeError,
-            msgpack.UnpackException,
-        ) as error:
-            log.debug("malformed datagram", error=repr(error))
+        except fields.PARSE_ERRORS as error:
+            self.malformed.record(error)
             return
-        if peer.zone == self.config.entry.zone:
-            peer.heartbeat = body
+        if isinstance(message, membership.Peer):
+            self._heartbeat_received(message)
+        elif isinstance(message, datagrams.SummaryBatch):
+            self._summaries_received(message)
+        elif message is not None and message.host in self.addresses:
+            bodies = self.summary_builder.build_requested(message.zones)
+            self._send(message.host, self._pack(bodies, False))
+
+    def _heartbeat_received(self, peer: membership.Peer) -> None:
+        contents = peer.heartbeat
+        if peer.zone != self.config.entry.zone:
+            peer.heartbeat = {}
         if not self.members.apply_heartbeat(peer):
             return
         if self.members.uses_peer_loads(peer):
             peer.loads_applied = True
-            self.apply_contents(peer.id, body)
+            self.apply_contents(peer.id, contents)
         self.fetcher.cancel_needless()
         for name in self.comparison.topics_to_fetch(peer.offsets):
             self.fetcher.start(peer.id, peer.host, name, peer.offsets[name])
 
-    def _summaries_received(self, body: Mapping[str, Any]) -> None:
-        interval_ms = int(body["interval_ms"])
+    def _summaries_received(self, batch: datagrams.SummaryBatch) -> None:
         now_ms = self.clock.now_ms()
-        for summary in [
-            summaries.parse_summary(message) for message in body["summaries"]
-        ]:
-            used = self.members.apply_summary(summary, interval_ms)
+        for summary in batch.summaries:
+            used = self.members.apply_summary(summary, batch.interval_ms)
             view = self.members.zones.views.get(summary.zone)
             if view is None:
                 continue
-            if body["forwarded"]:
+            if batch.forwarded:
                 view.forwarded_ms = now_ms
             elif used and self.relays.should_forward(view, now_ms):
                 self.summary_builder.pending_zones[summary.zone] = None
@@ -327,7 +325,7 @@
             # Asks only once per summary, since the response may lack the list
             # as well.
             if used and view.lacks_list():
-                sender = self.live.get(body["id"])
+                sender = self.live.get(batch.sender)
                 host = summary.host if sender is None else sender.host
                 self._request_list(summary.zone, host)
 
--- a/oleanderbay/gateway/positions.py
+++ b/oleanderbay/gateway/positions.py
@@ -9,11 +9,15 @@
 from collections.abc import Mapping
 from typing import Any
 
+from oleanderbay.gateway import fields
+
 # Low bits of a position that hold the offset.
 OFFSET_BITS = 40
 # Low bits of a position that hold the generation. Epochs of groups, which have
 # a counter below the generation, have to stay exact in JSON.
 GENERATION_BITS = 24
+# Highest era, with which positions still fit into 63 bits.
+MAX_ERA = (1 << 22) - 1
 
 
 def combine(era: int, number: int, bits: int = OFFSET_BITS) -> int:
@@ -47,11 +51,17 @@
 def parse_offsets(body: Mapping[str, Any]) -> dict[str, int]:
     """Returns the positions of topics that a message holds.
 
+    Gateways before d4559bc send no eras.
+
     Raises:
         ValueError, KeyError, TypeError: The fields are malformed.
     """
-    eras = dict(body.get("eras", {}))
+    offsets = {
+        name: fields.whole(offset, -1, (1 << OFFSET_BITS) - 1)
+        for name, offset in fields.mapping(body["offsets"]).items()
+    }
+    eras = fields.mapping(body.get("eras", dict.fromkeys(offsets, 0)))
     return {
-        str(name): combine(int(eras.get(name, 0)), int(offset))
-        for name, offset in dict(body["offsets"]).items()
+        name: combine(fields.whole(eras[name], 0, MAX_ERA), offset)
+        for name, offset in offsets.items()
     }
--- a/oleanderbay/gateway/shared_reads.py
+++ b/oleanderbay/gateway/shared_reads.py
@@ -15,13 +15,12 @@
 import xxhash
 
 from oleanderbay.connection import frames
-from oleanderbay.gateway import feed, interfaces, membership
+from oleanderbay.gateway import feed, heartbeat_contents, interfaces, membership
 from oleanderbay.process import clock as clocks
 
 # Gateways of earlier versions subscribe with offsets that lack the store's era.
 SUBSCRIBE = "subscribe2"
-# Heartbeat field with the result of `ReaderElection.is_eligible`.
-STORE_ANSWERS = "store_answers"
+STORE_ANSWERS = heartbeat_contents.STORE_ANSWERS
 # Interval at which the subscription is checked against the elected reader.
 REVIEW_INTERVAL_MS = 100
 # Shortest time between connection attempts. Without it, a reader that is
--- a/oleanderbay/gateway/summaries.py
+++ b/oleanderbay/gateway/summaries.py
@@ -8,7 +8,7 @@
 import msgpack
 import xxhash
 
-from oleanderbay.gateway import positions
+from oleanderbay.gateway import fields, heartbeat_contents, positions
 
 # Number of relays per zone; each of them sends summaries.
 RELAYS_PER_ZONE = 2
@@ -20,6 +20,10 @@
 # zone's other relay, or without a forwarded summary after which another gateway
 # takes over forwarding.
 RELAY_TIMEOUT_INTERVALS = 2
+# Zones and gateways of a zone that are kept at most. Only damaged messages name
+# more.
+MAX_ZONES = 256
+MAX_GATEWAYS = 4_096
 # Number of gateway lists that are cached per zone, by digest. The lists of a
 # zone's two relays may differ for a while.
 MAX_CACHED_LISTS = 4
@@ -134,41 +138,39 @@
     """Parses a summary.
 
     Raises:
-        ValueError, KeyError, TypeError: The summary is malformed.
+        One of `fields.PARSE_ERRORS`: The summary is malformed.
     """
-    sums = body["sums"]
     gateways = body.get("gateways")
     return Summary(
-        zone=str(body["zone"]),
-        id=str(body["id"]),
-        start_id=str(body["start_id"]),
-        host=str(body["host"]),
-        sequence=int(body["sequence"]),
-        interval_ms=int(body["interval_ms"]),
-        store_age_ms=int(body["store_age_ms"]),
+        zone=fields.name(body["zone"]),
+        id=fields.name(body["id"]),
+        start_id=fields.name(body["start_id"]),
+        host=fields.host(body["host"]),
+        sequence=fields.whole(body["sequence"]),
+        interval_ms=fields.span_ms(body["interval_ms"]),
+        store_age_ms=fields.span_ms(body["store_age_ms"]),
         offsets=positions.parse_offsets(body),
-        digest=int(body["digest"]),
-        sums={
-            # Empty contents may be missing.
-            key: type(empty)(sums.get(key, empty))
-            for key, empty in EMPTY_CONTENTS.items()
-        },
+        digest=fields.whole(body["digest"], high=2**64 - 1),
+        sums=heartbeat_contents.parse_sums(fields.mapping(body["sums"])),
+        # Only the digest is sent of a list that hasn't changed.
         gateways=None if gateways is None else _parse_list(gateways),
     )
 
 
-def _parse_list(gateways: Iterable[Iterable[Any]]) -> tuple[ListedGateway, ...]:
+def _parse_list(gateways: Any) -> tuple[ListedGateway, ...]:
     return tuple(
         ListedGateway(
-            str(id_),
-            str(start_id),
-            str(host),
-            str(callers),
-            bool(ready),
-            bool(leaving),
-            bool(relay),
+            fields.name(id_),
+            fields.name(start_id),
+            fields.host(host),
+            fields.address(callers),
+            fields.flag(ready),
+            fields.flag(leaving),
+            fields.flag(relay),
+        )
+        for id_, start_id, host, callers, ready, leaving, relay in map(
+            fields.items, fields.items(gateways)
         )
-        for id_, start_id, host, callers, ready, leaving, relay in gateways
     )
 
 
@@ -371,6 +373,8 @@
         view = self.views.get(summary.zone)
         first = view is None
         if view is None:
+            if len(self.views) >= MAX_ZONES:
+                return False
             view = ZoneView(summary, now_ms, interval_ms, lifetime_ms)
             view.forwarded_ms = now_ms
             self.views[summary.zone] = view
@@ -381,10 +385,15 @@
         listed = view.cached_lists.get(summary.digest, ())
         if not first and not view.is_new(summary):
             return False
-        view.sequences[summary.id] = (summary.start_id, summary.sequence)
+        if summary.id in view.sequences or len(view.sequences) < MAX_GATEWAYS:
+            view.sequences[summary.id] = (summary.start_id, summary.sequence)
         # A gateway that is listed by either relay shares global limits.
         for gateway in listed:
-            view.last_listed[gateway.id] = (gateway, now_ms)
+            if (
+                gateway.id in view.last_listed
+                or len(view.last_listed) < MAX_GATEWAYS
+            ):
+                view.last_listed[gateway.id] = (gateway, now_ms)
         if not first and view.keeps_current_relay(
             summary, listed or view.relays, now_ms
         ):
