Check records from other gateways as a whole before any is applied

An answer of a peer or of the zone's reader with one odd record was applied up to it; an infinite number in it ended the task with an error of the program in place of the connection; a batch whose statement that it holds the whole topic was no truth value could drop all workers.

Cause: offsets, keys and values were used as they came, row by row, and OverflowError was not caught. A truth value was made of anything.

Change: `feed.parse_answer` reads all rows before any is merged; requests and answers for records, batches and tunnels are checked in the same way.

Evidence: 14 of the new cases in tests/gateway/test_fetching.py and test_shared_reads.py failed before and pass now, as do the other tests of both, of tunnels, feeds, peers and partitions.

Why it works: a feed is changed only by a page whose rows have all been converted, and every error of the conversion ends the connection like a lost one.

--- a/oleanderbay/gateway/feed.py
+++ b/oleanderbay/gateway/feed.py
@@ -2,10 +2,11 @@
 
 import dataclasses
 from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
 
 import structlog
 
-from oleanderbay.gateway import interfaces, positions
+from oleanderbay.gateway import fields, interfaces, positions
 from oleanderbay.process import clock as clocks
 
 # Delay after a failed call to the store. The store charges for refused calls
@@ -342,6 +343,29 @@
         self._failing = False
 
 
+def parse_answer(rows: Any, end_offset: Any) -> interfaces.Page:
+    """Returns records that another gateway sent, all of which are valid.
+
+    Raises:
+        One of `fields.PARSE_ERRORS`: They are malformed.
+    """
+    records = []
+    for row in fields.items(rows):
+        offset, key, value = fields.items(row)
+        if value is not None and not isinstance(value, bytes):
+            raise TypeError("the value of a record is not bytes")
+        records.append(
+            interfaces.KeyedRecord(
+                fields.whole(offset, -1, positions.MAX_POSITION),
+                fields.text(key),
+                value,
+            )
+        )
+    return interfaces.Page(
+        tuple(records), fields.whole(end_offset, -1, positions.MAX_POSITION)
+    )
+
+
 def _is_restored(
     known: interfaces.KeyedRecord, record: interfaces.KeyedRecord
 ) -> bool:
--- a/oleanderbay/gateway/fetching.py
+++ b/oleanderbay/gateway/fetching.py
@@ -7,7 +7,7 @@
 import structlog
 
 from oleanderbay.connection import frames
-from oleanderbay.gateway import feed, interfaces, positions
+from oleanderbay.gateway import feed, fields, positions
 from oleanderbay.gateway import telemetry as telemetry_module
 from oleanderbay.process import clock as clocks
 
@@ -113,15 +113,16 @@
 
         Raises:
             OSError, TimeoutError: The other gateway does not take the answer.
-            KeyError, ValueError, TypeError: The request is malformed.
+            One of `fields.PARSE_ERRORS`: The request is malformed.
         """
-        name, offset = request.body
+        name, offset = fields.items(request.body)
         own_feed = self.feeds[name]
+        offset = fields.whole(offset, -1, positions.MAX_POSITION)
         if self._answers >= MAX_ANSWERS:
             return
         records = [
             [record.offset, record.key, record.value]
-            for record in own_feed.changed_since(int(offset))
+            for record in own_feed.changed_since(offset)
         ]
         answer = frames.encode(
             RECORDS, request.request_id, [records, own_feed.offset]
@@ -159,20 +160,14 @@
                     frames.encode(RECORDS, 1, [name, max(0, own_feed.offset)])
                 )
                 answer = await frames.read(reader, silence_s=SILENCE_MS / 1000)
-            own_feed.merge(
-                [
-                    interfaces.KeyedRecord(offset, key, value)
-                    for offset, key, value in answer.body[0]
-                ],
-                int(answer.body[1]),
-            )
+            rows, end_offset = fields.items(answer.body)
+            page = feed.parse_answer(rows, end_offset)
+            own_feed.merge(page.records, page.end_offset)
         except (
             TimeoutError,
             OSError,
             frames.FrameError,
-            ValueError,
-            TypeError,
-            LookupError,
+            *fields.PARSE_ERRORS,
         ) as error:
             log.info(
                 "records not fetched",
--- a/oleanderbay/gateway/peers.py
+++ b/oleanderbay/gateway/peers.py
@@ -365,9 +365,7 @@
             TimeoutError,
             OSError,
             frames.FrameError,
-            KeyError,
-            ValueError,
-            TypeError,
+            *fields.PARSE_ERRORS,
         ) as error:
             log.debug("request from peer failed", error=repr(error))
         finally:
--- a/oleanderbay/gateway/positions.py
+++ b/oleanderbay/gateway/positions.py
@@ -18,6 +18,7 @@
 GENERATION_BITS = 24
 # Highest era, with which positions still fit into 63 bits.
 MAX_ERA = (1 << 22) - 1
+MAX_POSITION = ((MAX_ERA + 1) << OFFSET_BITS) - 1
 
 
 def combine(era: int, number: int, bits: int = OFFSET_BITS) -> int:
--- a/oleanderbay/gateway/shared_reads.py
+++ b/oleanderbay/gateway/shared_reads.py
@@ -15,7 +15,13 @@
 import xxhash
 
 from oleanderbay.connection import frames
-from oleanderbay.gateway import feed, heartbeat_contents, interfaces, membership
+from oleanderbay.gateway import (
+    feed,
+    fields,
+    heartbeat_contents,
+    membership,
+    positions,
+)
 from oleanderbay.process import clock as clocks
 
 # Gateways of earlier versions subscribe with offsets that lack the store's era.
@@ -174,13 +180,15 @@
 
         Raises:
             FrameError, OSError: The connection ended.
-            ValueError, TypeError: A request is malformed.
+            One of `fields.PARSE_ERRORS`: A request is malformed.
         """
         try:
             while True:
                 received_ms = self.clock.now_ms()
                 self._sent_ms[writer] = None
-                number, offset = (int(value) for value in request.body)
+                number, offset = fields.items(request.body)
+                number = fields.whole(number)
+                offset = fields.whole(offset, -1, positions.MAX_POSITION)
                 while (
                     self.workers_feed.answered_reads <= number
                     or not self.workers_feed.is_complete()
@@ -261,9 +269,7 @@
         except (
             OSError,
             frames.FrameError,
-            ValueError,
-            TypeError,
-            msgpack.UnpackException,
+            *fields.PARSE_ERRORS,
         ) as error:
             log.info(
                 "subscription to reader failed",
@@ -298,24 +304,24 @@
         )
         writer.write(frames.encode(SUBSCRIBE, 1, [number, offset]))
         answer = await frames.read(reader)
-        number, after_ms, packed = answer.body
-        whole, end_offset, rows = msgpack.unpackb(packed)
-        records = tuple(
-            interfaces.KeyedRecord(int(offset), key, value)
-            for offset, key, value in rows
-        )
+        number, after_ms, packed = fields.items(answer.body)
+        whole, end_offset, rows = fields.items(msgpack.unpackb(packed))
+        page = feed.parse_answer(rows, end_offset)
+        whole = fields.flag(whole)
+        number = fields.whole(number)
+        # The reader may have read before the request arrived.
+        after_ms = fields.whole(after_ms, -fields.MAX_NUMBER)
         now_ms = self.clock.now_ms()
         # `after_ms` counts from the arrival of the request at the reader,
         # which is after it was sent. Basing the time on the sending keeps a
         # batch that was delayed in transit from looking newer than it is.
-        answered_ms = min(now_ms, sent_ms + int(after_ms))
-        page = interfaces.Page(records, int(end_offset))
-        self.workers_feed.apply_from_reader(page, bool(whole), answered_ms)
+        answered_ms = min(now_ms, sent_ms + after_ms)
+        self.workers_feed.apply_from_reader(page, whole, answered_ms)
         if self.answered_ms < 0:
             log.info("following reader", peer=self.peer.id)
         self.last_batch_ms = now_ms
         self.answered_ms = answered_ms
-        return int(number)
+        return number
 
 
 class SharedReads:
--- a/oleanderbay/gateway/tunnels.py
+++ b/oleanderbay/gateway/tunnels.py
@@ -10,7 +10,7 @@
 import structlog
 
 from oleanderbay.connection import frames, sockets
-from oleanderbay.gateway import settings, workers
+from oleanderbay.gateway import fields, settings, workers
 from oleanderbay.process import clock as clocks
 
 # Kind of the frames that open a tunnel.
@@ -148,10 +148,12 @@
         """Serves one tunnel until either end closes it.
 
         Raises:
-            KeyError, ValueError, TypeError: The request is malformed.
+            One of `fields.PARSE_ERRORS`: The request is malformed.
             OSError: The other gateway closed the connection.
         """
-        worker_id, started_ms = request.body
+        worker_id, started_ms = fields.items(request.body)
+        worker_id = fields.text(worker_id)
+        started_ms = fields.whole(started_ms, -(2**63), 2**63 - 1)
         host = writer.get_extra_info("peername")[0]
         if not self.is_gateway(host):
             log.warning("tunnel refused", host=host)
@@ -160,10 +162,10 @@
         worker_writer = None
         try:
             answer = Answer.OPEN
-            worker = self.find_worker(str(worker_id))
+            worker = self.find_worker(worker_id)
             if self._leaving or self.count > MAX_TUNNELS:
                 answer = Answer.BUSY
-            elif worker is None or worker.started_ms != int(started_ms):
+            elif worker is None or worker.started_ms != started_ms:
                 answer = Answer.UNAVAILABLE
             else:
                 try:
--- a/tests/gateway/test_fetching.py
+++ b/tests/gateway/test_fetching.py
@@ -4,8 +4,10 @@
 import contextlib
 import dataclasses
 import itertools
+import unittest.mock
 
 import msgpack
+import pytest
 
 from oleanderbay.connection import frames
 from oleanderbay.gateway import (
@@ -229,3 +231,88 @@
     refused.may_take.set()
     await fetcher.serve(request, None, refused)
     assert {len(w.data) for w in (*taking, refused)} == {len(ANSWER)}
+
+
+class StreamWriter(Writer):
+    """A connection that is aborted in the end."""
+
+    def __init__(self):
+        super().__init__()
+        self.transport = self
+
+    def abort(self):
+        pass
+
+
+GOOD_ROW = [END_OFFSET - 1, "config", b"1"]
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        [[GOOD_ROW, ["4", "a", b"1"]], END_OFFSET],
+        [[GOOD_ROW, [4.5, "a", b"1"]], END_OFFSET],
+        [[GOOD_ROW, [2**64 - 1, "a", b"1"]], END_OFFSET],
+        [[GOOD_ROW, [4, ["a"], b"1"]], END_OFFSET],
+        [[GOOD_ROW, [4, 7, b"1"]], END_OFFSET],
+        [[GOOD_ROW, [4, "a", "1"]], END_OFFSET],
+        [[GOOD_ROW, [4, "a", 7]], END_OFFSET],
+        [[GOOD_ROW, [4, "a"]], END_OFFSET],
+        [[GOOD_ROW], float("inf")],
+        [[GOOD_ROW], 2**64 - 1],
+        [[GOOD_ROW], "5"],
+        [[GOOD_ROW]],
+        [{"a": 1}, END_OFFSET],
+        None,
+        7,
+        float("nan"),
+    ],
+)
+async def test_a_malformed_answer_is_not_applied_in_part(body):
+    """Records of an odd type stayed, and an infinite end ended the fetch."""
+    applied = []
+    clock = clocks.ManualClock()
+    own_feed = feed.Feed(
+        parts.Store(),
+        interfaces.Topic.CONFIGURATION,
+        clock,
+        applied.append,
+        2_000,
+        0,
+    )
+
+    async def connect(host):
+        reader = asyncio.StreamReader()
+        reader.feed_data(frames.encode(fetching.RECORDS, 1, body))
+        return reader, StreamWriter()
+
+    fetcher = fetching.RecordFetcher({TOPIC: own_feed}, clock, connect)
+    assert await fetcher._fetch("p", "127.0.0.2", TOPIC) is False
+    assert not applied and own_feed.offset == -1 and not own_feed.latest
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        None,
+        7,
+        float("inf"),
+        [TOPIC, float("inf")],
+        [TOPIC, float("nan")],
+        [TOPIC, None],
+        [["x"], 1],
+        ["unknown", 1],
+        {"x": 1},
+    ],
+)
+async def test_a_malformed_request_ends_its_connection_only(body):
+    """An infinite offset ended the task with an error of the program."""
+    zone = Zone()
+    await zone.start(1)
+    request = frames.Frame(fetching.RECORDS, 1, body)
+    reader = asyncio.StreamReader()
+    reader.feed_data(frames.encode(request.kind, 1, body))
+    writer = unittest.mock.Mock()
+    await zone.peers._serve(reader, writer)
+    writer.close.assert_called_once()
+    await zone.close()
--- a/tests/gateway/test_shared_reads.py
+++ b/tests/gateway/test_shared_reads.py
@@ -376,7 +376,18 @@
 
 @pytest.mark.parametrize(
     "body",
-    [7, [1, 0], [1, 0, b""], [1, 0, msgpack.packb((True, 1, [(1,)]))]],
+    [
+        7,
+        [1, 0],
+        [1, 0, b""],
+        [1, 0, msgpack.packb((True, 1, [(1,)]))],
+        [1, float("inf"), msgpack.packb((True, 1, []))],
+        [1, 0, msgpack.packb((True, float("inf"), []))],
+        [1, 0, msgpack.packb((1, 1 << 39, []))],
+        [1, 0, msgpack.packb((True, 1 << 39, [(1, 7, b"")]))],
+        [1, 0, msgpack.packb((True, 1 << 39, [(1, "w0", "{}")]))],
+        [1, 0, msgpack.packb((True, 1 << 39, [(1, "w0", b"{}"), (0,)]))],
+    ],
 )
 async def test_malformed_batch_ends_the_subscription(body, site, monkeypatch):
     """A reader of another version must not stop a subscriber permanently."""
