Skip address records without a host that sockets accept

After a damaged address record a gateway could send no datagram any more, and its peers would hold it for gone; after a deeply nested one it read no further address and wrote its own again every second.

Cause: whatever stood in the record became a host by way of `str`. asyncio closes a datagram socket on a host with a null character. RecursionError was not caught.

Change: the host is checked like that of a heartbeat; other records are skipped and logged.

Why it works: hosts reach the socket from heartbeats, lists of summaries, addresses and seeds only; the first three are checked, and the seeds are the operators' own.

--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -21,6 +21,7 @@
     dialing,
     domain_ownership,
     feed,
+    fields,
     health,
     interfaces,
     listener,
@@ -573,8 +574,8 @@
         if record.value is None:
             return
         try:
-            host = str(json.loads(record.value)["host"])
-        except (ValueError, KeyError, TypeError):
+            host = fields.host(json.loads(record.value)["host"])
+        except fields.PARSE_ERRORS:
             log.warning("address skipped", key=record.key)
             return
         self.peers.add_address(host, record.key)
--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -10,9 +10,15 @@
 import msgpack
 import pytest
 
-from oleanderbay.gateway import entry, peers, settings, summaries
+from oleanderbay.gateway import (
+    entry,
+    interfaces,
+    peers,
+    settings,
+    summaries,
+)
 from oleanderbay.platform import names
-from tests.gateway import parts
+from tests.gateway import parts, test_datagrams
 from tests.gateway import site as site_module
 
 STREAM = site_module.STREAM
@@ -355,3 +361,28 @@
         lambda: applied() == (0, 0.0, False, False, 0, False)
     )
     assert gateway.peers.gateway_count() == 3
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b'{"host": {"a": 1}}',
+        b'{"host": ""}',
+        b'{"host": "a\\u0000b"}',
+        b'{"host": null}',
+        b'{"host": 7}',
+        b"[" * 100_000,
+        b"\xff",
+        b"[]",
+        b"{}",
+    ],
+)
+async def test_a_damaged_address_record_is_skipped(value):
+    """Datagrams to such a host closed the socket, or no others were read."""
+    gateway = test_datagrams.make_gateway()
+    before = dict(gateway.peers.addresses)
+    gateway._add_address(interfaces.KeyedRecord(1, "g7", value))
+    gateway._add_address(
+        interfaces.KeyedRecord(2, "g8", b'{"host": "127.0.0.8"}')
+    )
+    assert gateway.peers.addresses == {**before, "127.0.0.8": "g8"}
