Skip records of a quarantine whose parts are no list of names

A damaged record could refuse requests that it does not name: the text "bad" counted as the parts a, b and d, and null as a part None, for up to ten minutes. A deeply nested one ended the feed at each start, so that no gateway learned of any quarantine.

Cause: parts were made of whatever could be iterated, and RecursionError was not caught.

Change: the parts must be a list of names with at least one, and the time a whole number. Gateways write no other records.

Why it works: a record that is not skipped has the form in which gateways write it.

--- a/oleanderbay/gateway/quarantine_records.py
+++ b/oleanderbay/gateway/quarantine_records.py
@@ -12,7 +12,7 @@
 import structlog
 import xxhash
 
-from oleanderbay.gateway import feed, interfaces, quarantine
+from oleanderbay.gateway import feed, fields, interfaces, quarantine
 from oleanderbay.process import clock as clocks
 
 PARTS = "parts"
@@ -23,6 +23,8 @@
 # Records that a restored store lacks are written again within this time, before
 # the feed drops them.
 REWRITE_SPREAD_MS = feed.SETTLE_MS // 2
+# Largest wall-clock time, which is exact in JSON.
+MAX_TIME_MS = 2**53
 
 log = structlog.get_logger()
 
@@ -122,17 +124,13 @@
             return
         try:
             body = json.loads(record.value)
-            # Gateways of earlier versions state no kind.
+            # Gateways before e81720f state no kind.
             tracker = self.quarantines[body.get("kind", PARTS)]
-            parts = frozenset(map(str, body["parts"]))
-            began_ms = int(body["began_ms"])
-        except (
-            AttributeError,
-            ValueError,
-            KeyError,
-            TypeError,
-            OverflowError,
-        ):
+            parts = frozenset(fields.texts(body["parts"]))
+            began_ms = fields.whole(body["began_ms"], high=MAX_TIME_MS)
+            if not parts:
+                raise ValueError("a quarantine without parts")
+        except fields.PARSE_ERRORS:
             log.warning(
                 "record skipped", key=record.key, reason="not a quarantine"
             )
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -330,7 +330,23 @@
 
 
 @pytest.mark.parametrize(
-    "value", [b"x", b"[]", b'{"parts": 1, "began_ms": 1}', b'{"parts": []}']
+    "value",
+    [
+        b"x",
+        b"[]",
+        b'{"parts": 1, "began_ms": 1}',
+        b'{"parts": []}',
+        b'{"parts": "bad", "began_ms": 99999999999999}',
+        b'{"parts": {"bad": 1}, "began_ms": 99999999999999}',
+        b'{"parts": [null], "began_ms": 99999999999999}',
+        b'{"parts": [7], "began_ms": 99999999999999}',
+        b'{"parts": ["bad"], "began_ms": "99999999999999"}',
+        b'{"parts": ["bad"], "began_ms": true}',
+        b'{"parts": ["bad"], "began_ms": 1e400}',
+        b'{"parts": ["bad"], "began_ms": 99999999999999, "kind": []}',
+        b'{"parts": ["bad"], "began_ms": 99999999999999, "kind": null}',
+        b"[" * 100_000,
+    ],
 )
 def test_a_foreign_record_is_skipped(clock, tracker, value):
     """An exception would end the feed."""
