Take only complete and valid answers of the store

A page of newest records that lost its `has_more` counted as the last one, so that all workers of the later pages were dropped and their callers refused; an answer with has_more for ever, or as text, filled the memory of the gateway.

Cause: an absent `has_more` was taken for false and any text for true, numbers were made of whatever came, and offsets and generations that need more bits than a position has became smaller ones. An infinite number (OverflowError), deep nesting (RecursionError) and an era of thousands of digits raised other errors than StoreError, which ended the task that read.

Change: each field of an answer is checked for its type and range; `has_more` and `end_offset` have to be in every page. A topic may have 1,000 pages and 256 MB, and each page has to go on behind the last one. A row of another topic is no owned partition.

Evidence: the new cases of tests/platform/test_store.py pass.

Why it works: the store states `has_more` in every page (also in the printed examples of the protocol), so that its absence says that the answer is not a whole one; a feed keeps what it has and reads again.

--- a/oleanderbay/platform/store.py
+++ b/oleanderbay/platform/store.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 
-from oleanderbay.gateway import interfaces, positions
+from oleanderbay.gateway import fields, interfaces, positions
 from oleanderbay.platform import names
 
 TOPIC_NAMES = {
@@ -24,6 +24,9 @@
 MAX_READ_KB = 1_024
 # The store's pages and reads are limited to about 1 MB, before base64.
 MAX_RESPONSE_BYTES = 8 * MAX_READ_KB * 1_024
+# Limits of a whole topic: a page holds up to 500 records or 1 MB.
+MAX_PAGES = 1_000
+MAX_TOPIC_BYTES = 256 * 1_024 * 1_024
 # Calls are limited by `HttpStore.timeout_ms` instead.
 NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 _RECORD_LENGTH = struct.Struct(">I")
@@ -53,7 +56,7 @@
         _raise_for_status(self.status, path)
         try:
             return json.loads(self.body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise interfaces.StoreError(
                 f"{path}: the response is not valid JSON"
             ) from error
@@ -93,6 +96,7 @@
         records: list[interfaces.KeyedRecord] = []
         end_offset: int | None = None
         era: int | None = None
+        pages = size_bytes = 0
         query = {"topic": TOPIC_NAMES[topic], "part": "0"}
         while True:
             answer = await self._call("GET", "/log-newest", query)
@@ -103,20 +107,36 @@
                 )
             era = answer.era
             try:
-                for item in body["items"]:
-                    records.append(_parse_newest_item(item, era))
+                items = fields.items(body["items"])
+                found = [_parse_newest_item(item, era) for item in items]
                 # Pages are not a consistent snapshot: records that were
                 # written after the first page may be missing. The end offset
                 # of the first page makes the following read return them.
+                end = _parse_offset(body["end_offset"], era)
                 if end_offset is None:
-                    end_offset = positions.combine(era, int(body["end_offset"]))
-                if not body.get("has_more") or not body["items"]:
-                    break
-                query["start_after"] = str(body["items"][-1]["key"])
-            except (KeyError, TypeError, ValueError) as error:
+                    end_offset = end
+                # A topic without its last page would lack keys that exist.
+                more = fields.flag(body["has_more"])
+            except fields.PARSE_ERRORS as error:
                 raise interfaces.StoreError(
                     f"malformed page of newest records: {error!r}"
                 ) from error
+            records += found
+            if not more:
+                break
+            pages += 1
+            if (
+                pages >= MAX_PAGES
+                or not found
+                or found[-1].key == query.get("start_after")
+            ):
+                raise interfaces.StoreError(
+                    f"the topic has no end after {pages} pages"
+                )
+            size_bytes += len(answer.body)
+            if size_bytes > MAX_TOPIC_BYTES:
+                raise interfaces.StoreError("the topic is too large")
+            query["start_after"] = found[-1].key
         records.sort(key=lambda record: record.offset)
         return interfaces.Page(tuple(records), end_offset)
 
@@ -190,11 +210,12 @@
         )
         body = answer.json("/log-join")
         try:
+            number = fields.whole(body["generation"], 0, (1 << bits) - 1)
             return interfaces.Ownership(
-                positions.combine(answer.era, int(body["generation"]), bits),
-                frozenset(int(row[1]) for row in body["parts"]),
+                positions.combine(answer.era, number, bits),
+                frozenset(map(_parse_partition, fields.items(body["parts"]))),
             )
-        except (KeyError, TypeError, ValueError, IndexError) as error:
+        except fields.PARSE_ERRORS as error:
             raise interfaces.StoreError(
                 f"malformed response to a join: {error!r}"
             ) from error
@@ -256,8 +277,10 @@
 def _parse_era(headers: Mapping[str, str]) -> int:
     # Stores that were never restored may not state an era.
     text = headers.get(names.STORE_ERA, "0")
-    if not (text.isascii() and text.isdigit()):
-        raise interfaces.StoreError(f"the era {text!r} is not a number")
+    if not (text.isascii() and text.isdigit() and len(text) < 10):
+        raise interfaces.StoreError(f"the era {text[:20]!r} is not a number")
+    if int(text) > positions.MAX_ERA:
+        raise interfaces.StoreError(f"the era {text} is too high")
     return int(text)
 
 
@@ -274,22 +297,41 @@
 
 def _parse_newest_item(item: Any, era: int) -> interfaces.KeyedRecord:
     return interfaces.KeyedRecord(
-        positions.combine(era, int(item["offset"])),
-        str(item["key"]),
-        base64.b64decode(item["value"]),
+        _parse_offset(item["offset"], era),
+        fields.text(item["key"]),
+        base64.b64decode(fields.text(item["value"])),
+    )
+
+
+def _parse_offset(value: Any, era: int) -> int:
+    """Returns the position of an offset; larger ones would become others."""
+    return positions.combine(
+        era, fields.whole(value, 0, (1 << positions.OFFSET_BITS) - 1)
     )
 
 
+def _parse_partition(row: Any) -> int:
+    topic, partition, *_ = fields.items(row)
+    if topic != names.DOMAINS_TOPIC:
+        raise ValueError(f"a partition of the topic {topic!r}")
+    return fields.whole(partition)
+
+
 def _parse_page(body: bytes, start: int) -> interfaces.Page:
     if len(body) < _PAGE_HEADER.size:
         raise interfaces.StoreError(
             "the response to a read is shorter than its header"
         )
     era = positions.era_of(start)
-    end_offset, first_offset = (
-        positions.combine(era, offset)
-        for offset in _PAGE_HEADER.unpack_from(body)
-    )
+    try:
+        end_offset, first_offset = (
+            _parse_offset(offset, era)
+            for offset in _PAGE_HEADER.unpack_from(body)
+        )
+    except ValueError as error:
+        raise interfaces.StoreError(
+            "the response to a read has no valid offsets"
+        ) from error
     if start < first_offset:
         raise interfaces.HistoryGoneError(
             "the first retained record has offset "
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -196,6 +196,9 @@
         (struct.pack(">QQI", 9, 0, 100) + b"torn", interfaces.StoreError),
         (struct.pack(">QQ", 9, 5), interfaces.HistoryGoneError),
         (struct.pack(">QQ", 1, 0), interfaces.HistoryGoneError),
+        # Offsets beyond those of an era were taken for others.
+        (struct.pack(">QQ", (1 << 40) + 2, 0), interfaces.StoreError),
+        (struct.pack(">QQ", 9, 1 << 40), interfaces.StoreError),
     ],
 )
 async def test_malformed_pages_are_rejected(body, error):
@@ -215,8 +218,51 @@
         assert page.end_offset == 3
 
 
+ITEM = b'{"key": "a", "value": "MQ==", "offset": 4}'
+
+
+def newest_body(item=ITEM, more=b"false", end=b"6"):
+    return b'{"items": [%b], "has_more": %b, "end_offset": %b}' % (
+        item,
+        more,
+        end,
+    )
+
+
 @pytest.mark.parametrize(
-    "body", [b"", b"[]", b'{"items": 1}', b'{"items":[{}]}']
+    "body",
+    [
+        b"",
+        b"[]",
+        b'{"items": 1}',
+        b'{"items":[{}]}',
+        b"[" * 100_000,
+        # Without a statement that it is the last one, a page was taken for
+        # the end of the topic, and all later keys for dropped.
+        b'{"items": [%b], "end_offset": 6}' % ITEM,
+        newest_body(more=b"null"),
+        newest_body(more=b'"false"'),
+        newest_body(item=b"", more=b"true"),
+        newest_body(end=b"1e400"),
+        newest_body(end=b"-1"),
+        newest_body(end=b"true"),
+        newest_body(end=b"1099511627776"),
+        newest_body(item=ITEM.replace(b"4", b"1e400")),
+        newest_body(item=ITEM.replace(b"4", b'"4"')),
+        newest_body(item=ITEM.replace(b"4", b"1099511627776")),
+        newest_body(item=ITEM.replace(b'"a"', b"null")),
+        newest_body(item=ITEM.replace(b'"MQ=="', b"7")),
+        b'{"generation": 1e400, "parts": []}',
+        b'{"generation": -1, "parts": []}',
+        b'{"generation": true, "parts": []}',
+        b'{"generation": 16777216, "parts": []}',
+        b'{"generation": 1, "parts": [["domains", 1e400, 0]]}',
+        b'{"generation": 1, "parts": [["domains", "0", 0]]}',
+        b'{"generation": 1, "parts": [["another", 0, 0]]}',
+        b'{"generation": 1, "parts": [[]]}',
+        b'{"generation": 1, "parts": {"domains": 0}}',
+        b'{"generation": 1}',
+    ],
 )
 async def test_malformed_responses_raise_store_errors(body):
     """Any other exception would end the task that follows the topic."""
@@ -349,7 +395,9 @@
             )
 
 
-@pytest.mark.parametrize("era", ["x", "-1", "1.5", "\u00b2"])
+@pytest.mark.parametrize(
+    "era", ["x", "-1", "1.5", "\u00b2", "4194304", "9" * 5_000]
+)
 async def test_answer_with_a_malformed_era_is_rejected(era):
     """Its records would get wrong positions."""
 
@@ -359,3 +407,43 @@
     async with running_handler(handle, 2_000) as store_client:
         with pytest.raises(interfaces.StoreError, match="era"):
             await store_client.read(CONFIGURATION, 0, 0)
+
+
+@pytest.mark.parametrize("repeats", [False, True])
+async def test_pages_without_end_are_given_up(repeats, monkeypatch):
+    """A store that always has more pages would use up the gateway's memory."""
+    monkeypatch.setattr(store, "MAX_PAGES", 5)
+    calls = []
+
+    async def handle(request):
+        calls.append(request.query.get("start_after"))
+        key = b"a" if repeats else b"k%d" % len(calls)
+        return web.Response(
+            body=newest_body(
+                item=ITEM.replace(b'"a"', b'"%b"' % key), more=b"true"
+            )
+        )
+
+    async with running_handler(handle, 2_000) as store_client:
+        with pytest.raises(interfaces.StoreError, match="pages"):
+            await store_client.newest(CONFIGURATION)
+    assert len(calls) == (2 if repeats else 5)
+
+
+async def test_a_topic_that_is_too_large_is_given_up(monkeypatch):
+    """Pages within their limit add up to more than the memory holds."""
+    monkeypatch.setattr(store, "MAX_TOPIC_BYTES", 1_000)
+    calls = []
+
+    async def handle(request):
+        calls.append(1)
+        item = b'{"key": "k%d", "value": "%b", "offset": 4}' % (
+            len(calls),
+            b"MTIz" * 100,
+        )
+        return web.Response(body=newest_body(item=item, more=b"true"))
+
+    async with running_handler(handle, 2_000) as store_client:
+        with pytest.raises(interfaces.StoreError, match="too large"):
+            await store_client.newest(CONFIGURATION)
+    assert len(calls) == 3
