Refuse keys that no record of the store can hold

What callers saw: nothing. A gateway whose id has more than 255 bytes logged an error of the program each half second.

Cause: the length of a key has one byte, and `put` raised ValueError for longer ones, which its callers don't expect.

Change: such a key is refused with StoreRefusedError before any call.

Evidence: the new test failed before (ValueError) and passes now.

Why it works: callers handle a refused write like one that the store refused.

--- a/oleanderbay/platform/store.py
+++ b/oleanderbay/platform/store.py
@@ -27,6 +27,8 @@
 # Limits of a whole topic: a page holds up to 500 records or 1 MB.
 MAX_PAGES = 1_000
 MAX_TOPIC_BYTES = 256 * 1_024 * 1_024
+# The length of a key has one byte.
+MAX_KEY_BYTES = 255
 # Calls are limited by `HttpStore.timeout_ms` instead.
 NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 _RECORD_LENGTH = struct.Struct(">I")
@@ -172,6 +174,10 @@
     ) -> None:
         """Appends a record; see `Store.put`."""
         encoded_key = key.encode()
+        if len(encoded_key) > MAX_KEY_BYTES:
+            raise interfaces.StoreRefusedError(
+                f"a key of {len(encoded_key)} bytes is too long"
+            )
         content = bytes((len(encoded_key),)) + encoded_key + (value or b"")
         answer = await self._call(
             "POST",
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -447,3 +447,10 @@
         with pytest.raises(interfaces.StoreError, match="too large"):
             await store_client.newest(CONFIGURATION)
     assert len(calls) == 3
+
+
+async def test_a_key_that_no_record_can_hold_is_refused():
+    """The error ended the task in place of the call."""
+    async with client() as (_, store_client):
+        with pytest.raises(interfaces.StoreRefusedError, match="key"):
+            await store_client.put(GATEWAYS, "k" * 256, b"1")
