Pause between reads of a store that returns nothing of use

A store that keeps answering that the history is gone, for example below an offset that a peer gave out, was asked as fast as it answered, and each call is priced and limited for all gateways together. So was one that answers a waiting read at once with nothing.

Cause: a lost history is read again without a pause each time, and feeds without an interval rely on the store to wait.

Change: the second lost history in a row, without a read between, and an empty answer to a feed without an interval wait as long as a failed call. A first lost history and an answer that comes after the wait are followed by a call at once, as before.

Evidence: 4 of the 6 new cases of tests/gateway/test_feed.py failed before; they and the one for the wait pass now.

--- a/oleanderbay/gateway/feed.py
+++ b/oleanderbay/gateway/feed.py
@@ -115,9 +115,12 @@
         # The first read after a start must return the whole topic: records
         # from peers may have moved the offset past keys that were never read.
         whole = True
+        # Whether the last read of records found that its history is gone.
+        gone = False
         while True:
-            more = False
+            pause_ms = self.interval_ms
             await self.wait_for_turn()
+            started_ms = self.clock.now_ms()
             try:
                 if whole or not self.is_complete():
                     self._replace_newer(await self.store.newest(self.topic))
@@ -130,10 +133,21 @@
                     # during this read and be newer.
                     if page.end_offset >= self.offset:
                         self.merge(page.records, page.end_offset)
-                    more = page.more
+                    gone = False
+                    # The size of one read is limited, so above a certain rate
+                    # of records a feed that waited after each read would never
+                    # catch up. A store that returns none at once would be
+                    # asked without end.
+                    if page.records and page.more:
+                        pause_ms = 0
+                    elif not page.records and not pause_ms:
+                        elapsed_ms = self.clock.now_ms() - started_ms
+                        pause_ms = max(0, RETRY_MS - elapsed_ms)
                 self._record_own_read()
             except interfaces.HistoryGoneError:
-                whole = True
+                if gone:
+                    await self.clock.sleep_ms(RETRY_MS)
+                whole = gone = True
                 continue
             except interfaces.StoreError as error:
                 if not self._failing:
@@ -146,10 +160,8 @@
                 self.failed_ms = self.clock.now_ms()
                 await self.clock.sleep_ms(RETRY_MS)
                 continue
-            # The size of one read is limited, so above a certain rate of
-            # records a feed that waited after each read would never catch up.
-            if self.interval_ms and not more:
-                await self.clock.sleep_ms(self.interval_ms)
+            if pause_ms:
+                await self.clock.sleep_ms(pause_ms)
 
     def is_complete(self) -> bool:
         """Whether the whole topic was read since the store's restoration."""
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from oleanderbay.gateway import feed, interfaces, positions
 from oleanderbay.process import clock as clocks
 from tests.gateway import parts
@@ -82,6 +84,70 @@
     task.cancel()
 
 
+class RepeatingStore(parts.Store):
+    """Store that gives the same answers to all calls."""
+
+    def __init__(self, answer):
+        super().__init__()
+        self.answer = answer
+
+    async def newest(self, topic):
+        self.calls.append("newest")
+        await asyncio.sleep(0)
+        return page(1, (0, "a", b"1"))
+
+    async def read(self, topic, start, wait_ms):
+        self.calls.append(start)
+        await asyncio.sleep(0)
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return self.answer
+
+
+@pytest.mark.parametrize("interval_ms", [0, 100])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        interfaces.HistoryGoneError("gone"),
+        interfaces.Page((), 1),
+        interfaces.Page((), 1, more=True),
+    ],
+)
+async def test_useless_answers_are_not_asked_for_without_a_pause(
+    answer, interval_ms
+):
+    """A store that lost its history was read as fast as it answered."""
+    store, clock = RepeatingStore(answer), clocks.ManualClock()
+    topic_feed, _ = make_feed(store, clock)
+    topic_feed.interval_ms = interval_ms
+    task = asyncio.create_task(topic_feed.run())
+    async with asyncio.timeout(10):
+        for _ in range(100):
+            await clock.advance(10)
+            assert len(store.calls) <= 25
+    task.cancel()
+
+
+async def test_a_read_that_returns_nothing_after_its_wait_is_repeated_at_once():
+    """A pause would delay the next configuration."""
+    store, clock = parts.Store(), clocks.ManualClock()
+    topic_feed, _ = make_feed(store, clock)
+    topic_feed.interval_ms = 0
+    reads = []
+
+    async def read(topic, start, wait_ms):
+        reads.append(clock.now_ms())
+        await clock.sleep_ms(wait_ms)
+        return page(1)
+
+    store.answers = [page(1)]
+    store.read = read
+    task = asyncio.create_task(topic_feed.run())
+    await clock.advance(2_500)
+    assert reads == [0, 1_000, 2_000]
+    task.cancel()
+
+
 def test_older_record_is_ignored():
     """A late answer must not restore an old version or a dropped worker."""
     topic_feed, changes = make_feed(parts.Store(), clocks.ManualClock())
