Count a head as healthy only by reports of its whole group

A head that stood still because a member had left its group, or that was broken by its own report, counted as healthy for up to 1.5 s after each probe, at all gateways, and got requests although gateways suspected it.

Cause: a probe took any answer of the members for a statement about the group, and no lost member for the answer of all. A gateway that has just become partitioned finds nobody lost, so that members that did not answer counted as healthy, too.

Change: a probe marks the head healthy only if each known member has reported that it is in this group and neither joining nor broken.

Evidence: 6 of the 7 cases of the new test failed before; all pass now, with the other tests of the controller, of dissolution, of interleavings and of partitions.

Why it works: the override of suspicions rests on the fresh statement of each member about the group itself; without it the suspicion stays and expires as before.

--- a/oleanderbay/gateway/probing.py
+++ b/oleanderbay/gateway/probing.py
@@ -58,26 +58,43 @@
             return await self.orders.fetch_report(worker, REPORT_TIMEOUT_MS)
 
     async def probe(self, group: workers.Group) -> None:
-        """Asks all members of a suspected group for a report."""
+        """Asks all members of a suspected group for a report.
+
+        The head counts as healthy only if each of them reports that it is a
+        member. A partitioned gateway can't tell members that don't report for
+        lost, and learns nothing of the group.
+        """
         members = tuple(group.members.values())
-        await asyncio.gather(*(self.probe_worker(worker) for worker in members))
-        if not any(self.is_lost(worker) for worker in members):
+        reports = await asyncio.gather(
+            *(self.probe_worker(worker) for worker in members)
+        )
+        if not any(self.is_lost(worker) for worker in members) and all(
+            report is not None and _is_member(report, group)
+            for report in reports
+        ):
             self.worker_health.mark_healthy(group.members[0].id)
 
-    async def probe_worker(self, worker: workers.Worker) -> None:
-        """Marks a worker as lost unless it reports as this incarnation."""
+    async def probe_worker(
+        self, worker: workers.Worker
+    ) -> interfaces.Report | None:
+        """Marks a worker as lost unless it reports as this incarnation.
+
+        Returns:
+            Its report; None if it gave none, or was lost before.
+        """
         if self.is_lost(worker):
-            return
+            return None
         for _ in range(2):
             # A worker that another gateway reaches is not lost.
             report = await self.fetch_report(worker)
             if isinstance(report, interfaces.Report):
                 if report.started_ms in (0, worker.started_ms):
-                    return
+                    return report
                 break
             if report is interfaces.OrderResult.REFUSED:
                 break
         self.worker_health.record_lost(worker)
+        return None
 
     async def check_missing_member(
         self, service: table.Service, worker: workers.Worker
@@ -107,3 +124,14 @@
         ):
             self.worker_health.lost.pop(worker.id, None)
             log.info("worker answers again", worker=worker.id)
+
+
+def _is_member(report: interfaces.Report, group: workers.Group) -> bool:
+    """Whether a worker is a member of a group that works, by its report."""
+    membership = report.membership
+    return (
+        membership is not None
+        and (membership.group, membership.epoch) == (group.name, group.epoch)
+        and membership.state
+        not in (workers.MemberState.JOINING, workers.MemberState.BROKEN)
+    )
--- a/tests/gateway/test_controller.py
+++ b/tests/gateway/test_controller.py
@@ -182,3 +182,36 @@
     assert health.lost == {"a": 0} and health.report()["lost"] == {"a": 0}
     health.partitioned = lambda: True
     assert health.report()["lost"] == {}
+
+
+@pytest.mark.parametrize(
+    ("changed", "partitioned", "healthy"),
+    [
+        ({}, False, ["a"]),
+        ({"a": None}, True, []),
+        ({"b": None}, True, []),
+        ({"b": parts.worker("b")}, False, []),
+        ({"b": parts.worker("b", "h", 1, "ready")}, False, []),
+        ({"a": parts.worker("a", "g", 0, "broken")}, False, []),
+        ({"b": parts.worker("b", "g", 1, "joining")}, False, []),
+    ],
+)
+async def test_a_head_is_healthy_only_by_reports_of_its_whole_group(
+    simulation, changed, partitioned, healthy
+):
+    """All gateways sent requests to a group that stood still.
+
+    Any answer of its members counted, and so did none, if the gateway was
+    partitioned and could not tell them for lost.
+    """
+    simulation.add("a", "g", 0)
+    simulation.add("b", "g", 1, "ready")
+    simulation.gateway.worker_health.partitioned = lambda: partitioned
+    for worker_id, worker in changed.items():
+        if worker is None:
+            del simulation.actual[worker_id]
+        else:
+            simulation.actual[worker_id] = worker
+    group = simulation.gateway.state.groups()["g", 1]
+    await simulation.controller.prober.probe(group)
+    assert simulation.gateway.worker_health.healthy_heads() == healthy
