Limit the bytes of answers to orders and of the store

A worker that answers a report or an order, or a store that answers a read, with interim responses, empty lines, a chunk size or a chunk extension without end kept the gateway reading until the timeout of the call, beside all requests of callers.

Cause: the body was limited, and such bytes belong to no body. The parser of aiohttp takes them without end; only connections for requests limited them.

Change: connections for orders and for the store count the bytes of each answer and end above 1 MB and 16 MB.

Why it works: all bytes of an answer count before the parser sees them, and the count begins anew with each call, for which aiohttp prepares the connection.

--- a/oleanderbay/connection/aiohttp_internals.py
+++ b/oleanderbay/connection/aiohttp_internals.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
@@ -27,7 +28,12 @@
 NO_CAUSE = helpers._EXC_SENTINEL
 # Undocumented names used below, by the class that defines them.
 USED_NAMES = {
-    client_proto.ResponseHandler: ("_buffer", "_payload", "should_close"),
+    client_proto.ResponseHandler: (
+        "_buffer",
+        "_payload",
+        "set_response_params",
+        "should_close",
+    ),
     aiohttp.TCPConnector: (
         "_acquired",
         "_create_connection",
@@ -71,6 +77,57 @@
         return self._payload
 
 
+class LimitedProtocol(ClientProtocol):
+    """Ends a connection on which an answer takes too many bytes.
+
+    The parser accepts interim responses, empty lines, sizes and extensions of
+    chunks without end, which are part of no body.
+    """
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, max_answer_bytes: int
+    ) -> None:
+        super().__init__(loop)
+        self._max_answer_bytes = max_answer_bytes
+        self._answer_bytes = 0
+
+    def set_response_params(self, **params: Any) -> None:
+        """Prepares the connection for the next answer."""
+        self._answer_bytes = 0
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses a part of an answer, unless there were too many."""
+        self._answer_bytes += len(data)
+        if self._answer_bytes <= self._max_answer_bytes:
+            super().data_received(data)
+            return
+        error = aiohttp.ClientPayloadError("the answer is too large")
+        self.set_exception(error)
+        if self.body is not None:
+            self.body.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
+
+def limit_answers(
+    limited: aiohttp.TCPConnector, max_answer_bytes: int
+) -> aiohttp.TCPConnector:
+    """Limits the bytes of each answer, with all that is part of no body.
+
+    Args:
+        limited: A connector that has opened no connection yet.
+        max_answer_bytes: Bytes that an answer may take on its connection.
+
+    Returns:
+        The connector.
+    """
+    limited._factory = functools.partial(  # type: ignore[assignment]
+        LimitedProtocol, limited._loop, max_answer_bytes
+    )
+    return limited
+
+
 class SocketConnector(permissions.CheckedConnector):
     """Uses connections that another object opens.
 
--- a/oleanderbay/platform/orders.py
+++ b/oleanderbay/platform/orders.py
@@ -30,6 +30,8 @@
 
 # A worker's report holds a few short fields.
 MAX_BODY_BYTES = 65_536
+# With its head and the frames of its chunks, which may be small.
+MAX_CONNECTION_BYTES = 16 * MAX_BODY_BYTES
 
 
 class HttpOrders:
@@ -50,9 +52,12 @@
     async def start(self) -> None:
         """Opens the client session; requires a running event loop."""
         self._session = aiohttp.ClientSession(
-            connector=aiohttp_internals.SocketConnector(
-                lambda host, port: self.open_socket(host, port),
-                force_close=True,
+            connector=aiohttp_internals.limit_answers(
+                aiohttp_internals.SocketConnector(
+                    lambda host, port: self.open_socket(host, port),
+                    force_close=True,
+                ),
+                MAX_CONNECTION_BYTES,
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
--- a/oleanderbay/platform/store.py
+++ b/oleanderbay/platform/store.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+from oleanderbay.connection import aiohttp_internals
 from oleanderbay.gateway import fields, interfaces, positions
 from oleanderbay.platform import names
 
@@ -24,6 +25,8 @@
 MAX_READ_KB = 1_024
 # The store's pages and reads are limited to about 1 MB, before base64.
 MAX_RESPONSE_BYTES = 8 * MAX_READ_KB * 1_024
+# A response with its head and the frames of its chunks.
+MAX_CONNECTION_BYTES = 2 * MAX_RESPONSE_BYTES
 # Limits of a whole topic: a page holds up to 500 records or 1 MB.
 MAX_PAGES = 1_000
 MAX_TOPIC_BYTES = 256 * 1_024 * 1_024
@@ -84,7 +87,10 @@
     async def start(self) -> None:
         """Opens the client session; requires a running event loop."""
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10),
+            connector=aiohttp_internals.limit_answers(
+                aiohttp.TCPConnector(limit=0, keepalive_timeout=10),
+                MAX_CONNECTION_BYTES,
+            ),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
 
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -203,3 +203,21 @@
             with permissions.required(holds.pop):
                 result = await orders_client.stage_model(worker, 1, "small")
         assert result is RESULT.BEGUN and len(stand_in.orders) == 1
+
+
+@pytest.mark.parametrize("kind", endless.ENDLESS_FRAMING)
+async def test_endless_framing_is_given_up(kind):
+    """The call read gigabytes until its timeout, beside all requests."""
+    orders_client = orders.HttpOrders(5_000, 1_000)
+    await orders_client.start()
+    async with endless.running_framing(kind) as framing_server:
+        worker = workers.Worker(
+            id="w1", service="chat", address=framing_server.address, zone="z1"
+        )
+        report = await orders_client.fetch_report(worker, 5_000)
+        assert report is RESULT.UNREACHABLE
+        result = await orders_client.leave_group(worker, 1, "g", 1)
+        assert result is RESULT.UNKNOWN
+        assert not await orders_client.is_healthy(worker, "/h", 5_000)
+        assert framing_server.sent < MAX_SENT_BYTES
+    await orders_client.close()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -454,3 +454,32 @@
     async with client() as (_, store_client):
         with pytest.raises(interfaces.StoreRefusedError, match="key"):
             await store_client.put(GATEWAYS, "k" * 256, b"1")
+
+
+@pytest.mark.parametrize("kind", endless.ENDLESS_FRAMING)
+async def test_endless_framing_is_given_up(kind, monkeypatch):
+    """The call read gigabytes until its timeout, beside all requests."""
+    monkeypatch.setattr(store, "MAX_CONNECTION_BYTES", 1_000_000)
+    async with endless.running_framing(kind) as framing_server:
+        store_client = store.HttpStore(framing_server.address, 1, 5_000)
+        await store_client.start()
+        with pytest.raises(interfaces.StoreError, match="too large"):
+            await store_client.read(CONFIGURATION, 0, 0)
+        assert framing_server.sent < 64_000_000
+        await store_client.close()
+
+
+async def test_answers_of_one_connection_are_limited_one_by_one():
+    """A kept connection would end in the middle of a sound answer."""
+    record = struct.pack(">QQI", 1, 0, 400_002) + b"\x01k" + bytes(400_000)
+    connections = set()
+
+    async def handle(request):
+        connections.add(request.transport)
+        return web.Response(body=record)
+
+    async with running_handler(handle, 2_000) as store_client:
+        for _ in range(60):
+            page = await store_client.read(CONFIGURATION, 0, 0)
+            assert page.end_offset == 1
+    assert len(connections) == 1
