--- a/tests/platform/endless.py
+++ b/tests/platform/endless.py
@@ -68,8 +68,10 @@
         self.sent = 0
         self._start = start
         self._repeated = repeated
+        self._tasks = set()
 
     async def handle(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
         try:
             await reader.readuntil(b"\r\n\r\n")
             writer.write(self._start)
@@ -82,6 +84,10 @@
         finally:
             writer.close()
 
+    async def wait_closed(self):
+        """Waits until no connection is served."""
+        await asyncio.wait(self._tasks)
+
 
 @contextlib.asynccontextmanager
 async def running_framing(kind):
@@ -92,3 +98,4 @@
     endless.address = f"{host}:{port}"
     yield endless
     listener.close()
+    await endless.wait_closed()
