Reject entries of workers that lack fields or have other types

What callers saw: after a worker had left, another writer's entry under its id (service, address, zone, slots, state) brought it back.

Cause: the parser completed missing fields with defaults, turned values of other types into text (a nested domain became a name with brackets), and took an empty or unreadable group for none. State.apply_worker took a known worker out when its newest record could not be read, although that record is not the worker's.

Change: the nine fields that every entry has are required, and models, domain, staged and group are stated all or none. A field of another type rejects the entry. So does a change of a known worker to a service that is not configured or to no domain. A rejected entry names no worker: it brings none back and changes none. The feed keeps it beside the known record of its key, in place of which it is no longer passed on, and both are given to followers. If the worker does not write within three heartbeats in which the store answers, its key is dropped, as the platform does. One log line per key names key, offset, field and reason, all bounded; the platform's pages have no field for the writer.

Alternatives: taking the worker out, as before, closes a group that serves. Ignoring the entry in the state only would let the feed pass it on in place of the worker's own last record or of its removal: a follower would miss that the worker drains or has left, and would never hear of it, as the next heartbeats are repeats at the reader.

Why it works: a record that cannot be used says nothing about the worker, so what is known stays in force until the worker's own next record, its removal, or a silence after which the platform counts it as gone too. An own record after a rejected one is passed on even if it repeats the last one, so followers measure the same silence.

--- a/bench/sharing.py
+++ b/bench/sharing.py
@@ -187,7 +187,7 @@
         zone.LocalStore(metadata_store.MetadataStore(), clock),
         interfaces.Topic.WORKERS,
         clock,
-        lambda _: True,
+        lambda _: feed.Effect.REPEATED,
         0,
         500,
     )
--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -53,6 +53,9 @@
 # Interval between reads of the gateways' addresses, which find gateways that
 # were added while heartbeats did not reach this one.
 ADDRESS_REFRESH_MS = 10_000
+# The platform removes the entry of a worker that is silent for this many
+# heartbeat intervals.
+SILENT_HEARTBEATS = 3
 
 log = structlog.get_logger()
 
@@ -107,6 +110,10 @@
                 config.store.worker_interval_ms,
                 self.gateway_state.is_outdated_worker,
                 keeps_dropped=True,
+                silence_ms=max(
+                    feed.SETTLE_MS,
+                    SILENT_HEARTBEATS * config.workers.heartbeat_ms,
+                ),
             ),
         }
         self.peers = peers.Peers(
--- a/oleanderbay/gateway/feed.py
+++ b/oleanderbay/gateway/feed.py
@@ -1,6 +1,7 @@
 """A local copy of one keyed topic of the metadata store."""
 
 import dataclasses
+import enum
 from collections.abc import Awaitable, Callable, Iterable
 
 import structlog
@@ -21,8 +22,23 @@
 
 log = structlog.get_logger()
 
-# Applies a new record; returns True if it repeats the previous one of its key.
-RecordHandler = Callable[[interfaces.KeyedRecord], bool | None]
+
+class Effect(enum.Enum):
+    """What a record means for the known one of its key.
+
+    Attributes:
+        CHANGED: It replaces the known one.
+        REPEATED: It replaces the known one and says the same.
+        REJECTED: It can't be used, and the known one holds.
+    """
+
+    CHANGED = "changed"
+    REPEATED = "repeated"
+    REJECTED = "rejected"
+
+
+# Applies a new record; None stands for `Effect.CHANGED`.
+RecordHandler = Callable[[interfaces.KeyedRecord], Effect | None]
 # Returns True if the second record, which a restored store gave out, is older
 # than the first one, which is from before the restoration.
 RecordComparison = Callable[
@@ -43,6 +59,10 @@
 class Feed:
     """Keeps the newest record of each key and passes on new records.
 
+    A record that is rejected does not replace the known one of its key. If the
+    key's writer then stays silent for `silence_ms`, the known one is dropped:
+    the store may hold nothing else of a writer that is gone.
+
     If the store is restored from an older copy, records that are newer than
     those of the copy are kept. Keys that the copy lacks are dropped once their
     writers have had time to write them again.
@@ -50,7 +70,8 @@
     Attributes:
         topic: The topic that is read.
         offset: Offset of the next record to read; -1 before the first answer.
-        latest: Newest record by key; a dropped key's record has no value.
+        latest: Newest record by key that was not rejected; a dropped key's
+            record has no value.
         answered_ms: Monotonic time of the store's last answer, either to this
             gateway or to the reader that it follows; -1 if there was none.
         read_ms: Monotonic time of the last successful read by this gateway;
@@ -63,6 +84,8 @@
         is_outdated: Compares records of a restored store with known ones.
         keeps_dropped: Whether a dropped key that is in the copy of a restored
             store stays dropped until it is written again.
+        silence_ms: Time after a rejected record of a key within which the
+            key's writer has to write again.
         uninterrupted_since_ms: Monotonic time since which the store has
             answered without a gap or a restoration.
         wait_for_turn: Returns once this gateway has to read the store itself.
@@ -81,6 +104,7 @@
         interval_ms: int,
         is_outdated: RecordComparison = _never_outdated,
         keeps_dropped: bool = False,
+        silence_ms: int = SETTLE_MS,
     ) -> None:
         self.store = store
         self.topic = topic
@@ -90,6 +114,7 @@
         self.interval_ms = interval_ms
         self.is_outdated = is_outdated
         self.keeps_dropped = keeps_dropped
+        self.silence_ms = silence_ms
         self.offset = -1
         self.latest: dict[str, interfaces.KeyedRecord] = {}
         self.answered_ms = -1
@@ -105,6 +130,9 @@
         ] = lambda _: None
         self._failing = False
         self._changed_at: dict[str, int] = {}
+        # Rejected records since the last one of the key that was not: the
+        # newest, and the monotonic time of the first.
+        self._rejected: dict[str, tuple[interfaces.KeyedRecord, int]] = {}
         # Monotonic time at which keys that a restored store lacks are dropped;
         # -1 if there are none.
         self._settled_ms = -1
@@ -166,17 +194,20 @@
         """Returns the newest record of each key that changed since an offset.
 
         A record that repeats the previous one of its key is not a change.
+        Rejected records are included: they show that the key is in the store,
+        and their silence is measured by each gateway.
         """
-        return tuple(
-            sorted(
-                (
-                    self.latest[key]
-                    for key, changed_at in self._changed_at.items()
-                    if changed_at >= offset
-                ),
-                key=lambda record: record.offset,
-            )
-        )
+        changed = [
+            self.latest[key]
+            for key, changed_at in self._changed_at.items()
+            if changed_at >= offset
+        ]
+        changed += [
+            record
+            for record, _ in self._rejected.values()
+            if record.offset >= offset
+        ]
+        return tuple(sorted(changed, key=lambda record: record.offset))
 
     def apply_from_reader(
         self, page: interfaces.Page, whole: bool, answered_ms: int
@@ -197,6 +228,7 @@
                 self.merge(page.records, page.end_offset)
         self._record_answer(answered_ms)
         self._drop_unconfirmed()
+        self._drop_silent()
 
     def merge(
         self, records: Iterable[interfaces.KeyedRecord], end_offset: int
@@ -304,21 +336,48 @@
                 record.value is not None
                 and positions.era_of(record.offset) < era
             ):
-                # The next record of the key may have the offset that this
-                # feed has reached; followers ask for changes from that one on.
-                self._apply(
-                    interfaces.KeyedRecord(self.offset - 1, record.key, None)
-                )
-                self._changed_at[record.key] = self.offset
+                self._drop(record.key)
+
+    def _drop_silent(self) -> None:
+        """Drops keys whose writers are silent since a rejected record.
+
+        Only time in which the store answered counts, since writers can't
+        write otherwise.
+        """
+        now_ms = self.clock.now_ms()
+        for key, (_, since_ms) in tuple(self._rejected.items()):
+            since_ms = max(since_ms, self.uninterrupted_since_ms)
+            known = self.latest.get(key)
+            if (
+                known is not None
+                and known.value is not None
+                and now_ms - since_ms >= self.silence_ms
+            ):
+                log.info("writer silent since a rejected record", key=key)
+                self._drop(key)
+
+    def _drop(self, key: str) -> None:
+        # The next record of the key may have the offset that this feed has
+        # reached; followers ask for changes from that one on.
+        self._apply(interfaces.KeyedRecord(self.offset - 1, key, None))
+        self._changed_at[key] = self.offset
 
     def _apply(self, record: interfaces.KeyedRecord) -> None:
         known = self.latest.get(record.key)
+        effect = self.apply_record(record)
+        rejected = self._rejected.pop(record.key, None)
+        if effect is Effect.REJECTED:
+            since_ms = rejected[1] if rejected else self.clock.now_ms()
+            self._rejected[record.key] = (record, since_ms)
+            return
         self.latest[record.key] = record
-        # Followers need the first record after a restoration also if it is a
-        # repeat, as it shows that the key still exists.
+        # Followers need a repeat too if it is the first record after a
+        # restoration or a rejected record, as it shows that the key's writer
+        # is still there.
         if (
-            not self.apply_record(record)
+            effect is not Effect.REPEATED
             or known is None
+            or rejected is not None
             or _is_restored(known, record)
         ):
             self._changed_at[record.key] = record.offset
@@ -336,6 +395,7 @@
         self._record_answer(self.read_ms)
         self.answered_reads += 1
         self._drop_unconfirmed()
+        self._drop_silent()
         self.after_read()
         if self._failing:
             log.info("store answers again", topic=self.topic.value)
--- a/oleanderbay/gateway/state.py
+++ b/oleanderbay/gateway/state.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from oleanderbay.gateway import interfaces, positions, table, workers
+from oleanderbay.gateway import feed, interfaces, positions, table, workers
 from oleanderbay.process import clock as clocks
 
 # Records arrive up to one read interval after they were written, so the end of
@@ -14,6 +14,8 @@
 # Workers that said themselves that they drain, and that are remembered in case
 # an older record of them arrives.
 MAX_SAID_DRAINING = 1_024
+# Keys of which a skipped record is logged only once.
+MAX_LOGGED_KEYS = 1_024
 
 log = structlog.get_logger()
 
@@ -47,7 +49,8 @@
         self.cold_until_ms: dict[str, int] = {}
         self.revision = 0
         self.skipped_records = 0
-        self._logged: set[str] = set()
+        # Keys, as an ordered set, whose skipped records were logged.
+        self._logged: dict[str, None] = {}
         # Start time of the incarnation, by worker id.
         self._said_draining: dict[str, int] = {}
         self._groups: dict[tuple[str, int], workers.Group] = {}
@@ -111,14 +114,18 @@
             before.draining,
         )
 
-    def apply_worker(self, record: interfaces.KeyedRecord) -> bool:
+    def apply_worker(self, record: interfaces.KeyedRecord) -> feed.Effect:
         """Applies a record of the workers topic.
 
+        A record that can't be used is another writer's. It names no worker and
+        says nothing about the one that is known by this id, which may serve
+        its group: taking it out would dissolve the group.
+
         Returns:
-            Whether the record repeats the worker's previous one. All fields
-            are compared, since worker selection, grouping and repairs use
-            them. The remaining cold time is compared by the end of the cold
-            start that follows from it.
+            `REPEATED` if the record repeats the worker's previous one. All
+            fields are compared, since worker selection, grouping and repairs
+            use them. The remaining cold time is compared by the end of the
+            cold start that follows from it.
         """
         if record.value is None:
             removed = self.workers.pop(record.key, None)
@@ -129,14 +136,12 @@
                 if membership and membership.rank and not removed.draining:
                     self.missing_members[removed.id] = removed
             self.cold_until_ms.pop(record.key, None)
-            return removed is None
+            return _effect(removed is None)
         worker = self.decoder.worker(record.key, record.value)
-        if isinstance(worker, str):
-            self._record_skipped(record.key, worker)
-            if self.workers.pop(record.key, None) is None:
-                return True
-            self.revision += 1
-            return False
+        reason = worker if isinstance(worker, str) else self._flaw_of(worker)
+        if reason or isinstance(worker, str):
+            self._record_skipped(record, reason)
+            return feed.Effect.REJECTED
         confirms = False
         if self._said_draining.get(worker.id, -1) == worker.started_ms:
             confirms = worker.draining
@@ -172,7 +177,7 @@
         if previous != worker:
             self.workers[worker.id] = worker
             self.revision += 1
-        return repeats
+        return _effect(repeats)
 
     def mark_draining(self, worker: workers.Worker) -> None:
         """Applies that a worker has said in a response that it drains.
@@ -237,6 +242,24 @@
         until_ms = self.cold_until_ms.get(worker.id)
         return until_ms is not None and self.clock.now_ms() < until_ms
 
+    def _flaw_of(self, worker: workers.Worker) -> str:
+        """Returns why a record is not this worker's; empty if it may be.
+
+        A worker that is not known yet may come before the configuration that
+        names its service.
+        """
+        previous = self.workers.get(worker.id)
+        if self.table is None or previous is None:
+            return ""
+        if (
+            worker.service != previous.service
+            and worker.service not in self.table.services
+        ):
+            return "service is not configured"
+        if previous.domain and not worker.domain:
+            return "domain is missing"
+        return ""
+
     def _is_repeat(
         self, previous: workers.Worker | None, worker: workers.Worker
     ) -> bool:
@@ -259,7 +282,7 @@
             return
         new_table = self.decoder.table(record.value)
         if isinstance(new_table, str):
-            self._record_skipped(record.key, new_table)
+            self._record_skipped(record, new_table)
             return
         if self.table is not None and new_table.version < self.table.version:
             return
@@ -274,8 +297,22 @@
             routes=sum(len(routes) for routes in new_table.hosts.values()),
         )
 
-    def _record_skipped(self, key: str, reason: str) -> None:
+    def _record_skipped(
+        self, record: interfaces.KeyedRecord, reason: str
+    ) -> None:
         self.skipped_records += 1
-        if key not in self._logged:
-            self._logged.add(key)
-            log.warning("record skipped", key=key, reason=reason)
+        if record.key in self._logged:
+            return
+        self._logged[record.key] = None
+        while len(self._logged) > MAX_LOGGED_KEYS:
+            del self._logged[next(iter(self._logged))]
+        log.warning(
+            "record skipped",
+            key=record.key,
+            reason=reason,
+            offset=positions.number_in_era(record.offset),
+        )
+
+
+def _effect(repeats: bool) -> feed.Effect:
+    return feed.Effect.REPEATED if repeats else feed.Effect.CHANGED
--- a/oleanderbay/platform/records.py
+++ b/oleanderbay/platform/records.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from oleanderbay.gateway import interfaces, table, workers
-from oleanderbay.platform import names
+from oleanderbay.platform import fields, names
 
 ROUTE_KINDS = {
     "idempotent": table.RouteKind.IDEMPOTENT,
@@ -20,6 +20,8 @@
     "closing": workers.MemberState.CLOSING,
     "broken": workers.MemberState.BROKEN,
 }
+DRAINING_BY_STATE = {"ready": False, "draining": True}
+GROUP_FIELDS = ("models", "domain", "staged", "group")
 # Largest numbers that a worker's record may hold. They are sent to other
 # gateways and used in calculations with floating-point numbers.
 MAX_SLOTS = 1_000_000
@@ -27,6 +29,9 @@
 MAX_COLD_MS = 86_400_000
 MAX_COUNT = 2**53
 MAX_PACE = 1_000_000
+MAX_EPOCH = 2**63 - 1
+# Longest reason for which a record is rejected, in characters.
+MAX_REASON = 200
 ADDRESS = re.compile(r"([A-Za-z0-9.-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})")
 # Ids of workers are sent in headers.
 WORKER_ID = re.compile(r"[!-~]+")
@@ -51,14 +56,14 @@
         try:
             return _parse_table(json.loads(value))
         except PARSE_ERRORS as error:
-            return f"{type(error).__name__}: {error}"
+            return _reason(error)
 
     def worker(self, key: str, value: bytes) -> workers.Worker | str:
         """Parses a worker's record; returns an error message if invalid."""
         try:
             return _parse_worker(key, json.loads(value))
         except PARSE_ERRORS as error:
-            return f"{type(error).__name__}: {error}"
+            return _reason(error)
 
     def is_configuration(self, key: str) -> bool:
         """Whether a key is that of the configuration record."""
@@ -71,6 +76,10 @@
         return key.removeprefix(names.EVACUATION_PREFIX)
 
 
+def _reason(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"[:MAX_REASON]
+
+
 def parse_report(body: Mapping[str, Any], worker_id: str) -> interfaces.Report:
     """Parses a worker's report.
 
@@ -79,7 +88,7 @@
     """
     return interfaces.Report(
         worker_id=worker_id,
-        membership=_parse_membership(body.get("group")),
+        membership=_parse_membership(body),
         models=_model_names(body),
         staged=_staged_models(body),
         started_ms=_whole(body, "born", MAX_COUNT),
@@ -92,31 +101,63 @@
 def _parse_worker(key: str, body: Any) -> workers.Worker:
     if not WORKER_ID.fullmatch(key):
         raise ValueError("the key is no worker's id")
-    state = _non_empty_string(body["state"])
-    if state not in ("ready", "draining"):
-        raise ValueError(f"unknown worker state {state!r}")
-    address = ADDRESS.fullmatch(_non_empty_string(body["address"]))
+    if not isinstance(body, Mapping):
+        raise ValueError("the record is not an object")
+    address = ADDRESS.fullmatch(fields.text(body, "address"))
     if address is None or not 0 < int(address[2]) < 65_536:
         raise ValueError("address is not host:port")
-    slots = body.get("slots", 1)
-    if type(slots) is not int or not 0 < slots <= MAX_SLOTS:
-        raise ValueError("slots is not a positive integer")
+    # A worker that serves models in groups states all of these, any other none.
+    if any(name in body for name in GROUP_FIELDS):
+        for name in GROUP_FIELDS:
+            if name not in body:
+                raise ValueError(f"{name} is missing")
+    # No decision rests on the version; an entry without it is not a worker's.
+    fields.text(body, "version")
     return workers.Worker(
         id=key,
-        service=_non_empty_string(body["service"]),
+        service=fields.text(body, "service"),
         address=f"{address[1]}:{int(address[2])}",
-        zone=_non_empty_string(body["zone"]),
-        domain=_non_empty_string(str(body["domain"]))
-        if body.get("domain")
-        else "",
-        slots=slots,
-        draining=state == "draining",
-        remaining_cold_ms=_whole(body, "cold_remaining_ms", MAX_COLD_MS),
-        started_ms=_whole(body, "born", MAX_COUNT),
-        sequence=_whole(body, "sequence", MAX_COUNT),
+        zone=fields.text(body, "zone"),
+        domain=fields.text(body, "domain", default=""),
+        slots=fields.whole(body, "slots", MAX_SLOTS, least=1),
+        draining=fields.choice(body, "state", DRAINING_BY_STATE),
+        remaining_cold_ms=int(
+            fields.number(body, "cold_remaining_ms", MAX_COLD_MS)
+        ),
+        started_ms=fields.whole(body, "born", MAX_COUNT),
+        sequence=fields.whole(body, "sequence", MAX_COUNT),
         models=_model_names(body),
         staged=_staged_models(body),
-        membership=_parse_membership(body.get("group")),
+        membership=_parse_membership(body),
+    )
+
+
+def _model_names(body: Mapping[str, Any]) -> tuple[str, ...]:
+    return tuple(
+        fields.text(fields.as_mapping(item, "models"), "name")
+        for item in fields.array(body, "models")
+    )
+
+
+def _staged_models(body: Mapping[str, Any]) -> frozenset[str]:
+    return frozenset(
+        fields.text(
+            item if isinstance(item, Mapping) else {"staged": item},
+            "name" if isinstance(item, Mapping) else "staged",
+        )
+        for item in fields.array(body, "staged")
+    )
+
+
+def _parse_membership(body: Mapping[str, Any]) -> workers.Membership | None:
+    if body.get("group") is None:
+        return None
+    group = fields.mapping(body, "group")
+    return workers.Membership(
+        group=fields.text(group, "name"),
+        epoch=fields.whole(group, "epoch", MAX_EPOCH),
+        rank=fields.whole(group, "rank", MAX_RANK),
+        state=fields.choice(group, "state", MEMBER_STATES),
     )
 
 
@@ -144,36 +185,6 @@
     return value
 
 
-def _model_names(body: Mapping[str, Any]) -> tuple[str, ...]:
-    return tuple(
-        _non_empty_string(model["name"]) for model in body.get("models") or ()
-    )
-
-
-def _staged_models(body: Mapping[str, Any]) -> frozenset[str]:
-    return frozenset(
-        _non_empty_string(item["name"] if isinstance(item, Mapping) else item)
-        for item in body.get("staged") or ()
-    )
-
-
-def _epoch(value: Any) -> int:
-    if type(value) is not int or not 0 <= value < 2**63:
-        raise ValueError("epoch is not an integer of 63 bits")
-    return value
-
-
-def _parse_membership(body: Any) -> workers.Membership | None:
-    if not body or not body.get("name"):
-        return None
-    return workers.Membership(
-        group=_non_empty_string(body["name"]),
-        epoch=_epoch(body["epoch"]),
-        rank=_whole({"rank": body["rank"]}, "rank", MAX_RANK),
-        state=MEMBER_STATES[body["state"]],
-    )
-
-
 def _parse_table(body: Any) -> table.RoutingTable:
     hosts: dict[str, list[table.Route]] = {}
     for item in body["routes"]:
