Forget rejected entries that the store no longer has

What callers saw: nothing. A gateway that reads the whole topic again kept a rejected entry whose key the store no longer has, and told its followers that the key is there.

Cause: only the known records were compared with the topic, not the rejected ones.

Change: a whole read forgets the rejected records that it lacks.

Tests: test_a_rejected_entry_that_the_store_no_longer_has_is_forgotten failed before and passes now; test_foreign_entries.py, test_feed.py and test_feed_machine.py pass.

Why it works: a key that is absent from the whole topic has no entry, also no foreign one, unless it was read after the page; those have a higher offset and stay.

--- a/oleanderbay/gateway/feed.py
+++ b/oleanderbay/gateway/feed.py
@@ -261,6 +261,9 @@
             and positions.era_of(self.complete_offset) < era
         )
         present = {record.key for record in page.records}
+        for key, (rejected, _) in tuple(self._rejected.items()):
+            if key not in present and rejected.offset < page.end_offset:
+                del self._rejected[key]
         lacking = []
         for key, known in tuple(self.latest.items()):
             if (
--- a/tests/gateway/test_foreign_entries.py
+++ b/tests/gateway/test_foreign_entries.py
@@ -295,6 +295,14 @@
     assert reader.ids == follower.ids == {"w"}
 
 
+def test_a_rejected_entry_that_the_store_no_longer_has_is_forgotten():
+    """Followers would be told that the key is still there."""
+    reader = Reader()
+    reader.take(FOREIGN)
+    reader.feed.replace(interfaces.Page((), 9))
+    assert not reader.feed.changed_since(0)
+
+
 def test_a_rejected_entry_is_logged_once_with_its_field():
     """Another writer chooses how much it writes, and how often."""
     reader = Reader()
