Reject reports of workers that name no start or hold other types

What callers saw: nothing that was traced. A report without `born` counted as one of any incarnation: it kept a worker in use that had started again and belongs to no group, and took back the verdict that its earlier incarnation is lost.

Cause: the parser of reports took 0 for a missing `born`, and the prober took 0 for a match.

Change: a report has `born` as a whole number; a field of another type rejects it, which counts as an unknown answer, like one that is no JSON. `in_flight`, `queue_depth` and `pace` may be missing, as no decision rests on them. Answers to orders are judged by their status only, so their bodies need no check. The stand-in worker reports these fields.

--- a/oleanderbay/gateway/interfaces.py
+++ b/oleanderbay/gateway/interfaces.py
@@ -173,7 +173,7 @@
         membership: Its group membership; None if it belongs to no group.
         models: Names of the models that it has loaded.
         staged: Names of the models that are stored on its host.
-        started_ms: Wall-clock time of its start; 0 if not stated.
+        started_ms: Wall-clock time of its start.
         in_flight: Number of requests that it is serving.
         queued: Number of requests in its queue.
         time_factor: Factor on its processing times; above 1 if it is slow.
--- a/oleanderbay/gateway/probing.py
+++ b/oleanderbay/gateway/probing.py
@@ -72,7 +72,7 @@
             # A worker that another gateway reaches is not lost.
             report = await self.fetch_report(worker)
             if isinstance(report, interfaces.Report):
-                if report.started_ms in (0, worker.started_ms):
+                if report.started_ms == worker.started_ms:
                     return
                 break
             if report is interfaces.OrderResult.REFUSED:
@@ -101,9 +101,9 @@
             return
         await self.clock.sleep_ms(REPROBE_INTERVAL_MS)
         report = await self.fetch_report(worker)
-        if isinstance(report, interfaces.Report) and report.started_ms in (
-            0,
-            worker.started_ms,
+        if (
+            isinstance(report, interfaces.Report)
+            and report.started_ms == worker.started_ms
         ):
             self.worker_health.lost.pop(worker.id, None)
             log.info("worker answers again", worker=worker.id)
--- a/oleanderbay/platform/records.py
+++ b/oleanderbay/platform/records.py
@@ -91,10 +91,11 @@
         membership=_parse_membership(body),
         models=_model_names(body),
         staged=_staged_models(body),
-        started_ms=_whole(body, "born", MAX_COUNT),
-        in_flight=_whole(body, "in_flight", MAX_COUNT),
-        queued=_whole(body, "queue_depth", MAX_COUNT),
-        time_factor=_number(body, "pace", MAX_PACE) or 1.0,
+        started_ms=fields.whole(body, "born", MAX_COUNT),
+        # No decision rests on these so far, so a report may lack them.
+        in_flight=int(fields.number(body, "in_flight", MAX_COUNT, default=0)),
+        queued=int(fields.number(body, "queue_depth", MAX_COUNT, default=0)),
+        time_factor=fields.number(body, "pace", MAX_PACE, default=0) or 1.0,
     )
 
 
@@ -161,21 +162,6 @@
     )
 
 
-def _number(body: Mapping[str, Any], name: str, most: float) -> float:
-    """Returns a number from 0 on; 0 if it is missing."""
-    value = body.get(name)
-    if value is None:
-        return 0
-    if type(value) not in (int, float) or not 0 <= value <= most:
-        raise ValueError(f"{name} is not a number from 0 to {most}")
-    return float(value)
-
-
-def _whole(body: Mapping[str, Any], name: str, most: int) -> int:
-    """Returns a number from 0 on without its fraction; 0 if it is missing."""
-    return int(_number(body, name, most))
-
-
 def _non_empty_string(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise TypeError(f"expected a non-empty string, found {value!r}")
--- a/oleanderbay/standins/group_worker.py
+++ b/oleanderbay/standins/group_worker.py
@@ -181,9 +181,14 @@
     async def _on_report(self, request: web.Request) -> web.Response:
         if self._other(request):
             return self._refusal(421)
-        return web.json_response(
-            self.record(), headers={names.WORKER_ID: self.id}
-        )
+        report = {
+            **self.record(),
+            "busy": False,
+            "queue_depth": 0,
+            "in_flight": len(self._open),
+            "pace": 1.0,
+        }
+        return web.json_response(report, headers={names.WORKER_ID: self.id})
 
     async def _on_order(self, request: web.Request) -> web.Response:
         if self._other(request):
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -203,3 +203,13 @@
             with permissions.required(holds.pop):
                 result = await orders_client.stage_model(worker, 1, "small")
         assert result is RESULT.BEGUN and len(stand_in.orders) == 1
+
+
+async def test_a_report_that_names_no_start_of_a_worker_is_unknown():
+    """It would speak for every incarnation, also for one that is gone."""
+    async with client() as (orders_client, stand_in, _):
+        said = stand_in.record()
+        del said["born"]
+        stand_in.record = lambda: said
+        report = await orders_client.fetch_report(worker_of(stand_in), 2_000)
+        assert report is RESULT.UNKNOWN
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from oleanderbay.gateway import table, workers
+from oleanderbay.gateway import interfaces, table, workers
 from oleanderbay.platform import records
 from tests import worker_entries
 
@@ -106,6 +106,63 @@
         decode(json.dumps({**record, field: data.draw(JSON)}).encode())
 
 
+REPORT = {
+    "stage": "prefill_decode",
+    "models": [{"name": "small", "version": 1, "adapters": []}],
+    "domain": "d1",
+    "staged": ["small"],
+    "group": {"name": "g", "epoch": 2, "rank": 0, "state": "open"},
+    "busy": False,
+    "sequence": 3,
+    "queue_depth": 0,
+    "in_flight": 1,
+    "kv_used": 486,
+    "kv_total": 984_705,
+    "handles": 0,
+    "born": 17,
+    "pace": 1.5,
+}
+
+
+def test_all_fields_of_a_report_are_parsed():
+    assert records.parse_report(REPORT, "w1") == interfaces.Report(
+        worker_id="w1",
+        membership=workers.Membership(
+            group="g", epoch=2, rank=0, state=workers.MemberState.OPEN
+        ),
+        models=("small",),
+        staged=frozenset(("small",)),
+        started_ms=17,
+        in_flight=1,
+        time_factor=1.5,
+    )
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"born": None},
+        {"born": 17.5},
+        {"born": "17"},
+        {"group": []},
+        {"group": {}},
+        {"group": {"name": ""}},
+        {"models": "small"},
+        {"staged": {"small": 1}},
+        {"in_flight": "1"},
+        {"queue_depth": True},
+        {"pace": "1"},
+        None,
+    ],
+    ids=repr,
+)
+def test_a_malformed_report_is_rejected(changes):
+    """It would speak for any start of the worker, or for no group."""
+    body = [REPORT] if changes is None else {**REPORT, **changes}
+    with pytest.raises(records.PARSE_ERRORS):
+        records.parse_report(body, "w1")
+
+
 def test_all_fields_of_a_configuration_are_parsed():
     """Valid requests would be refused if a route or key were dropped."""
     parsed = DECODER.table(json.dumps(CONFIGURATION).encode())
