Reject configurations with fields of another type

What callers saw: nothing; the store accepts only valid configurations. One with `"public": "no"` would have made a route public, and a text as a list of keys would have made each of its letters a key.

Cause: the parser of routes, services, limits and teams converted values with str, int, float and bool, and took false values of any type for absence.

Change: each field is read by its type; a value of another one rejects the version, and the one in force stays. A field that may be absent keeps its meaning of absence, also as 0, null or an empty text. Fractions of numbers are dropped as before (`form_ms` is 300.0 on the users' sites). The priority of a team is left as it was.

Why it works: nothing is converted between types any more, so that each value in force is one that the operator has written.

--- a/oleanderbay/platform/fields.py
+++ b/oleanderbay/platform/fields.py
@@ -70,10 +70,20 @@
     return float(value)
 
 
-def array(body: Mapping[str, Any], name: str) -> Sequence[Any]:
-    """Returns a list; an empty one if the field is absent."""
+def flag(body: Mapping[str, Any], name: str) -> bool:
+    """Returns a truth value; False if the field is absent."""
     value = body.get(name)
-    if value is None:
+    if value is not None and not isinstance(value, bool):
+        raise ValueError(_complaint(body, name, "true or false"))
+    return bool(value)
+
+
+def array(
+    body: Mapping[str, Any], name: str, required: bool = False
+) -> Sequence[Any]:
+    """Returns a list; an empty one if a field is absent that may be."""
+    value = body.get(name)
+    if value is None and not required:
         return ()
     if not isinstance(value, list):
         raise ValueError(_complaint(body, name, "a list"))
--- a/oleanderbay/platform/records.py
+++ b/oleanderbay/platform/records.py
@@ -2,7 +2,7 @@
 
 import json
 import re
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from typing import Any
 
 from oleanderbay.gateway import interfaces, table, workers
@@ -162,30 +162,25 @@
     )
 
 
-def _non_empty_string(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise TypeError(f"expected a non-empty string, found {value!r}")
-    # JSON strings may contain lone surrogates, which can't be encoded as UTF-8;
-    # encoding raises UnicodeEncodeError for them.
-    value.encode()
-    return value
-
-
 def _parse_table(body: Any) -> table.RoutingTable:
+    body = fields.as_mapping(body, "configuration")
     hosts: dict[str, list[table.Route]] = {}
-    for item in body["routes"]:
-        route = _parse_route(item)
+    for item in fields.array(body, "routes", required=True):
+        route = _parse_route(fields.as_mapping(item, "routes"))
         hosts.setdefault(route.host, []).append(route)
     teams = {
-        _non_empty_string(key): table.Team(
-            name=_non_empty_string(item["name"]), priority=item.get("priority")
+        fields.text({"api_keys": key}, "api_keys"): table.Team(
+            name=fields.text(item, "name"), priority=item.get("priority")
         )
-        for item in body.get("tenants") or ()
-        for key in item.get("api_keys") or ()
+        for item in fields.array(body, "tenants")
+        for key in fields.array(fields.as_mapping(item, "tenants"), "api_keys")
     }
-    services = [_parse_service(item) for item in body["services"]]
+    services = [
+        _parse_service(fields.as_mapping(item, "services"))
+        for item in fields.array(body, "services", required=True)
+    ]
     return table.RoutingTable(
-        version=int(body["version"]),
+        version=fields.whole(body, "version", MAX_COUNT),
         services={service.name: service for service in services},
         hosts={
             host: tuple(
@@ -195,91 +190,102 @@
         },
         teams=teams,
         key_required="tenants" in body,
-        limits=_parse_limits(body.get("limits") or {}),
+        limits=_parse_limits(fields.mapping(body, "limits")),
     )
 
 
 def _parse_limits(body: Mapping[str, Any]) -> table.Limits:
-    known = {
-        name: int(body[name])
+    stated = {
+        name: int(fields.number(body, name, default=0))
         for name in (
             "max_header_bytes",
             "max_body_bytes",
             "header_timeout_ms",
             "idle_timeout_ms",
         )
-        if body.get(name)
     }
-    return table.Limits(**known)
+    return table.Limits(**{k: v for k, v in stated.items() if v})
 
 
 def _parse_route(body: Mapping[str, Any]) -> table.Route:
-    split: Sequence[Any] = body.get("traffic_split") or (
-        {"service": body["service"], "weight": 1},
+    timeout_ms = int(fields.number(body, "timeout_ms"))
+    split = fields.array(body, "traffic_split") or (
+        {"service": fields.text(body, "service"), "weight": 1},
     )
     return table.Route(
-        name=_non_empty_string(body["name"]),
-        host=_non_empty_string(body["host"]).lower(),
-        path_prefix=_non_empty_string(body["path_prefix"]),
-        kind=ROUTE_KINDS[body["kind"]],
-        timeout_ms=int(body["timeout_ms"]),
-        latency_target_ms=int(
-            body.get("target_latency_ms") or body["timeout_ms"]
-        ),
-        gap_target_ms=int(body.get("target_gap_ms") or 0),
-        priority=int(body.get("priority") or 0),
+        name=fields.text(body, "name"),
+        host=fields.text(body, "host").lower(),
+        path_prefix=fields.text(body, "path_prefix"),
+        kind=fields.choice(body, "kind", ROUTE_KINDS),
+        timeout_ms=timeout_ms,
+        latency_target_ms=_number(body, "target_latency_ms") or timeout_ms,
+        gap_target_ms=_number(body, "target_gap_ms"),
+        priority=_number(body, "priority"),
         service_weights=tuple(
-            (_non_empty_string(part["service"]), float(part["weight"]))
-            for part in split
+            (fields.text(part, "service"), fields.number(part, "weight"))
+            for part in (fields.as_mapping(p, "traffic_split") for p in split)
         ),
-        max_attempts=max(1, int(body.get("max_attempts") or 1)),
-        public=bool(body.get("public")),
-        resumable=bool(body.get("resumable")),
+        max_attempts=max(1, _number(body, "max_attempts")),
+        public=fields.flag(body, "public"),
+        resumable=fields.flag(body, "resumable"),
     )
 
 
 def _parse_service(body: Mapping[str, Any]) -> table.Service:
-    engine = body.get("engine")
+    engine = fields.mapping(body, "engine")
     return table.Service(
-        name=_non_empty_string(body["name"]),
-        health_path=str(body.get("health_path") or ""),
-        max_connections=int(body.get("max_connections") or 0),
-        cold_requests_per_s=float(body.get("cold_per_s") or 0.0),
+        name=fields.text(body, "name"),
+        health_path=fields.text(body, "health_path", default=""),
+        max_connections=_number(body, "max_connections"),
+        cold_requests_per_s=fields.number(body, "cold_per_s", default=0),
         engine=_parse_engine(engine) if engine else None,
     )
 
 
 def _parse_engine(body: Mapping[str, Any]) -> table.Engine:
-    usual = body.get("usual") or {}
+    usual = fields.mapping(body, "usual")
     return table.Engine(
-        slots=max(1, int(body.get("slots") or 1)),
-        kv_capacity_tokens=int(body.get("kv_capacity_tokens") or 0),
-        step_ms=float(body.get("step_ms") or 0.0),
-        step_ms_per_request=float(body.get("per_seq_ms") or 0.0),
-        step_ms_per_1000_context_tokens=float(body.get("context_per_k") or 0.0),
-        prefill_tokens_per_ms=float(body.get("read_per_s") or 1_000.0) / 1_000,
-        prefill_ms_per_million_token_pairs=float(
-            body.get("pairs_per_m") or 0.0
+        slots=max(1, _number(body, "slots")),
+        kv_capacity_tokens=_number(body, "kv_capacity_tokens"),
+        step_ms=fields.number(body, "step_ms", default=0),
+        step_ms_per_request=fields.number(body, "per_seq_ms", default=0),
+        step_ms_per_1000_context_tokens=fields.number(
+            body, "context_per_k", default=0
+        ),
+        prefill_tokens_per_ms=(
+            fields.number(body, "read_per_s", default=0) or 1_000.0
+        )
+        / 1_000,
+        prefill_ms_per_million_token_pairs=fields.number(
+            body, "pairs_per_m", default=0
+        ),
+        prefill_chunk_tokens=_number(body, "chunk") or 2_048,
+        steps_per_pass=max(1, _number(body, "stride")),
+        loads_per_s=(fields.number(body, "loads_per_s", default=0) or 1.0),
+        full_speed_loads=max(1, _number(body, "loads_at_once")),
+        max_staged_models=_number(body, "cached_prefixes") or 1,
+        cross_domain_factor=(fields.number(body, "far_x", default=0) or 1.0),
+        formation_ms=_number(body, "form_ms"),
+        mean_prompt_tokens=_number(usual, "prompt"),
+        mean_output_tokens=_number(usual, "answer"),
+        models=tuple(
+            _parse_model(fields.as_mapping(item, "models"))
+            for item in fields.array(body, "models")
         ),
-        prefill_chunk_tokens=int(body.get("chunk") or 2_048),
-        steps_per_pass=max(1, int(body.get("stride") or 1)),
-        loads_per_s=float(body.get("loads_per_s") or 1.0),
-        full_speed_loads=max(1, int(body.get("loads_at_once") or 1)),
-        max_staged_models=int(body.get("cached_prefixes") or 1),
-        cross_domain_factor=float(body.get("far_x") or 1.0),
-        formation_ms=int(body.get("form_ms") or 0),
-        mean_prompt_tokens=int(usual.get("prompt") or 0),
-        mean_output_tokens=int(usual.get("answer") or 0),
-        models=tuple(_parse_model(item) for item in body.get("models") or ()),
     )
 
 
 def _parse_model(body: Mapping[str, Any]) -> table.Model:
     return table.Model(
-        name=_non_empty_string(body["name"]),
-        group_size=max(1, int(body.get("size") or 1)),
-        expected_share=float(body.get("share") or 0.0),
-        time_factor=float(body.get("pace") or 1.0),
-        load_ms=round(float(body.get("load_s") or 0.0) * 1_000),
-        warm_load_ms=round(float(body.get("warm_s") or 0.0) * 1_000),
+        name=fields.text(body, "name"),
+        group_size=max(1, _number(body, "size")),
+        expected_share=fields.number(body, "share", default=0),
+        time_factor=(fields.number(body, "pace", default=0) or 1.0),
+        load_ms=round(fields.number(body, "load_s", default=0) * 1_000),
+        warm_load_ms=round(fields.number(body, "warm_s", default=0) * 1_000),
     )
+
+
+def _number(body: Mapping[str, Any], name: str) -> int:
+    """Returns a number without its fraction; 0 if the field is absent."""
+    return int(fields.number(body, name, default=0))
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -182,3 +182,68 @@
     """A partly applied version would refuse valid requests."""
     incomplete = {k: v for k, v in CONFIGURATION.items() if k != field}
     assert isinstance(DECODER.table(json.dumps(incomplete).encode()), str)
+
+
+@pytest.mark.parametrize(
+    ("section", "changes"),
+    [
+        ("", {"version": "3"}),
+        ("", {"version": 3.5}),
+        ("", {"routes": {"r": ROUTE}}),
+        ("", {"services": "chat"}),
+        ("", {"tenants": "team"}),
+        ("", {"tenants": [{"name": "team", "api_keys": "k1"}]}),
+        ("", {"limits": [1]}),
+        ("", {"limits": {"max_body_bytes": "10"}}),
+        ("routes", {"public": "no"}),
+        ("routes", {"resumable": 1}),
+        ("routes", {"timeout_ms": "1000"}),
+        ("routes", {"timeout_ms": None}),
+        ("routes", {"target_latency_ms": [1]}),
+        ("routes", {"max_attempts": True}),
+        ("routes", {"traffic_split": {"service": "chat", "weight": 1}}),
+        ("routes", {"traffic_split": [{"service": "chat", "weight": "1"}]}),
+        ("services", {"health_path": 7}),
+        ("services", {"health_path": ["/h"]}),
+        ("services", {"max_connections": "5"}),
+        ("services", {"engine": []}),
+        ("services", {"engine": {"slots": "2"}}),
+        ("services", {"engine": {"usual": []}}),
+        ("services", {"engine": {"models": "small"}}),
+        ("services", {"engine": {"models": [{"name": "s", "size": "2"}]}}),
+    ],
+    ids=repr,
+)
+def test_a_configuration_with_a_field_of_another_type_is_rejected(
+    section, changes
+):
+    """It came into force with a value that nobody had written."""
+    changed = {**CONFIGURATION, **changes}
+    if section:
+        first, *rest = CONFIGURATION[section]
+        changed = {**CONFIGURATION, section: [{**first, **changes}, *rest]}
+    assert isinstance(DECODER.table(json.dumps(changed).encode()), str)
+
+
+def test_fields_that_a_configuration_may_lack_have_their_meaning():
+    """An empty text or 0 stands for absence, as before the checks."""
+    service = {
+        "name": "chat",
+        "health_path": "",
+        "max_connections": 0,
+        "cold_per_s": 26.0,
+        "engine": {"form_ms": 300.0, "far_x": 0},
+    }
+    route = {**ROUTE, "target_latency_ms": 0, "public": None}
+    parsed = DECODER.table(
+        json.dumps(
+            {"version": 1, "routes": [route], "services": [service]}
+        ).encode()
+    )
+    assert parsed.route("api.test", "/x").latency_target_ms == 1_000
+    assert not parsed.route("api.test", "/x").public
+    assert not parsed.key_required
+    found = parsed.services["chat"]
+    assert (found.health_path, found.max_connections) == ("", 0)
+    assert found.engine.formation_ms == 300
+    assert found.engine.cross_domain_factor == 1.0
