--- a/oleanderbay/platform/records.py
+++ b/oleanderbay/platform/records.py
@@ -2,11 +2,11 @@
 
 import json
 import re
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from typing import Any
 
 from oleanderbay.gateway import interfaces, table, workers
-from oleanderbay.platform import names
+from oleanderbay.platform import fields, names
 
 ROUTE_KINDS = {
     "idempotent": table.RouteKind.IDEMPOTENT,
@@ -20,6 +20,8 @@
     "closing": workers.MemberState.CLOSING,
     "broken": workers.MemberState.BROKEN,
 }
+DRAINING_BY_STATE = {"ready": False, "draining": True}
+GROUP_FIELDS = ("models", "domain", "staged", "group")
 # Largest numbers that a record may hold. Those of workers are sent to other
 # gateways and used in calculations with floating-point numbers.
 MAX_SLOTS = 1_000_000
@@ -28,6 +30,9 @@
 MAX_COUNT = 2**53
 MAX_PACE = 1_000_000
 MAX_PRIORITY = 1_000_000
+MAX_EPOCH = 2**63 - 1
+# Longest reason for which a record is rejected, in characters.
+MAX_REASON = 200
 ADDRESS = re.compile(r"([A-Za-z0-9.-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})")
 # Ids of workers are sent in headers.
 WORKER_ID = re.compile(r"[!-~]+")
@@ -52,14 +57,14 @@
         try:
             return _parse_table(json.loads(value))
         except PARSE_ERRORS as error:
-            return f"{type(error).__name__}: {error}"
+            return _reason(error)
 
     def worker(self, key: str, value: bytes) -> workers.Worker | str:
         """Parses a worker's record; returns an error message if invalid."""
         try:
             return _parse_worker(key, json.loads(value))
         except PARSE_ERRORS as error:
-            return f"{type(error).__name__}: {error}"
+            return _reason(error)
 
     def is_configuration(self, key: str) -> bool:
         """Whether a key is that of the configuration record."""
@@ -72,6 +77,10 @@
         return key.removeprefix(names.EVACUATION_PREFIX)
 
 
+def _reason(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"[:MAX_REASON]
+
+
 def parse_report(body: Mapping[str, Any], worker_id: str) -> interfaces.Report:
     """Parses a worker's report.
 
@@ -80,119 +89,102 @@
     """
     return interfaces.Report(
         worker_id=worker_id,
-        membership=_parse_membership(body.get("group")),
+        membership=_parse_membership(body),
         models=_model_names(body),
         staged=_staged_models(body),
-        started_ms=_whole(body, "born", MAX_COUNT),
-        in_flight=_whole(body, "in_flight", MAX_COUNT),
-        queued=_whole(body, "queue_depth", MAX_COUNT),
-        time_factor=_number(body, "pace", MAX_PACE) or 1.0,
+        started_ms=fields.whole(body, "born", MAX_COUNT),
+        # No decision rests on these so far, so a report may lack them.
+        in_flight=int(fields.number(body, "in_flight", MAX_COUNT, default=0)),
+        queued=int(fields.number(body, "queue_depth", MAX_COUNT, default=0)),
+        time_factor=fields.number(body, "pace", MAX_PACE, default=0) or 1.0,
     )
 
 
 def _parse_worker(key: str, body: Any) -> workers.Worker:
     if not WORKER_ID.fullmatch(key):
         raise ValueError("the key is no worker's id")
-    state = _non_empty_string(body["state"])
-    if state not in ("ready", "draining"):
-        raise ValueError(f"unknown worker state {state!r}")
-    address = ADDRESS.fullmatch(_non_empty_string(body["address"]))
+    if not isinstance(body, Mapping):
+        raise ValueError("the record is not an object")
+    address = ADDRESS.fullmatch(fields.text(body, "address"))
     if address is None or not 0 < int(address[2]) < 65_536:
         raise ValueError("address is not host:port")
-    slots = body.get("slots", 1)
-    if type(slots) is not int or not 0 < slots <= MAX_SLOTS:
-        raise ValueError("slots is not a positive integer")
+    # A worker that serves models in groups states all of these, any other none.
+    if any(name in body for name in GROUP_FIELDS):
+        for name in GROUP_FIELDS:
+            if name not in body:
+                raise ValueError(f"{name} is missing")
+    # No decision rests on the version; an entry without it is not a worker's.
+    fields.text(body, "version")
     return workers.Worker(
         id=key,
-        service=_non_empty_string(body["service"]),
+        service=fields.text(body, "service"),
         address=f"{address[1]}:{int(address[2])}",
-        zone=_non_empty_string(body["zone"]),
-        domain=_non_empty_string(str(body["domain"]))
-        if body.get("domain")
-        else "",
-        slots=slots,
-        draining=state == "draining",
-        remaining_cold_ms=_whole(body, "cold_remaining_ms", MAX_COLD_MS),
-        started_ms=_whole(body, "born", MAX_COUNT),
-        sequence=_whole(body, "sequence", MAX_COUNT),
+        zone=fields.text(body, "zone"),
+        domain=fields.text(body, "domain", default=""),
+        slots=fields.whole(body, "slots", MAX_SLOTS, least=1),
+        draining=fields.choice(body, "state", DRAINING_BY_STATE),
+        remaining_cold_ms=int(
+            fields.number(body, "cold_remaining_ms", MAX_COLD_MS)
+        ),
+        started_ms=fields.whole(body, "born", MAX_COUNT),
+        sequence=fields.whole(body, "sequence", MAX_COUNT),
         models=_model_names(body),
         staged=_staged_models(body),
-        membership=_parse_membership(body.get("group")),
+        membership=_parse_membership(body),
     )
 
 
-def _number(body: Mapping[str, Any], name: str, most: float) -> float:
-    """Returns a number from 0 on; 0 if it is missing."""
-    value = body.get(name)
-    if value is None:
-        return 0
-    if type(value) not in (int, float) or not 0 <= value <= most:
-        raise ValueError(f"{name} is not a number from 0 to {most}")
-    return float(value)
-
-
-def _whole(body: Mapping[str, Any], name: str, most: int) -> int:
-    """Returns a number from 0 on without its fraction; 0 if it is missing."""
-    return int(_number(body, name, most))
-
-
-def _non_empty_string(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise TypeError(f"expected a non-empty string, found {value!r}")
-    # JSON strings may contain lone surrogates, which can't be encoded as UTF-8;
-    # encoding raises UnicodeEncodeError for them.
-    value.encode()
-    return value
-
-
 def _model_names(body: Mapping[str, Any]) -> tuple[str, ...]:
     return tuple(
-        _non_empty_string(model["name"]) for model in body.get("models") or ()
+        fields.text(fields.as_mapping(item, "models"), "name")
+        for item in fields.array(body, "models")
     )
 
 
 def _staged_models(body: Mapping[str, Any]) -> frozenset[str]:
     return frozenset(
-        _non_empty_string(item["name"] if isinstance(item, Mapping) else item)
-        for item in body.get("staged") or ()
+        fields.text(
+            item if isinstance(item, Mapping) else {"staged": item},
+            "name" if isinstance(item, Mapping) else "staged",
+        )
+        for item in fields.array(body, "staged")
     )
 
 
-def _epoch(value: Any) -> int:
-    if type(value) is not int or not 0 <= value < 2**63:
-        raise ValueError("epoch is not an integer of 63 bits")
-    return value
-
-
-def _parse_membership(body: Any) -> workers.Membership | None:
-    if not body or not body.get("name"):
+def _parse_membership(body: Mapping[str, Any]) -> workers.Membership | None:
+    if body.get("group") is None:
         return None
+    group = fields.mapping(body, "group")
     return workers.Membership(
-        group=_non_empty_string(body["name"]),
-        epoch=_epoch(body["epoch"]),
-        rank=_whole({"rank": body["rank"]}, "rank", MAX_RANK),
-        state=MEMBER_STATES[body["state"]],
+        group=fields.text(group, "name"),
+        epoch=fields.whole(group, "epoch", MAX_EPOCH),
+        rank=fields.whole(group, "rank", MAX_RANK),
+        state=fields.choice(group, "state", MEMBER_STATES),
     )
 
 
 def _parse_table(body: Any) -> table.RoutingTable:
+    body = fields.as_mapping(body, "configuration")
     hosts: dict[str, list[table.Route]] = {}
-    for item in body["routes"]:
-        route = _parse_route(item)
+    for item in fields.array(body, "routes", required=True):
+        route = _parse_route(fields.as_mapping(item, "routes"))
         hosts.setdefault(route.host, []).append(route)
     teams = {
-        _non_empty_string(key): table.Team(
-            name=_non_empty_string(item["name"]),
+        fields.text({"api_keys": key}, "api_keys"): table.Team(
+            name=fields.text(item, "name"),
             priority=None
             if item.get("priority") is None
-            else _whole(item, "priority", MAX_PRIORITY),
+            else int(fields.number(item, "priority", MAX_PRIORITY)),
         )
-        for item in body.get("tenants") or ()
-        for key in item.get("api_keys") or ()
+        for item in fields.array(body, "tenants")
+        for key in fields.array(fields.as_mapping(item, "tenants"), "api_keys")
     }
-    services = [_parse_service(item) for item in body["services"]]
+    services = [
+        _parse_service(fields.as_mapping(item, "services"))
+        for item in fields.array(body, "services", required=True)
+    ]
     return table.RoutingTable(
-        version=int(body["version"]),
+        version=fields.whole(body, "version", MAX_COUNT),
         services={service.name: service for service in services},
         hosts={
             host: tuple(
@@ -202,91 +194,102 @@
         },
         teams=teams,
         key_required="tenants" in body,
-        limits=_parse_limits(body.get("limits") or {}),
+        limits=_parse_limits(fields.mapping(body, "limits")),
     )
 
 
 def _parse_limits(body: Mapping[str, Any]) -> table.Limits:
-    known = {
-        name: int(body[name])
+    stated = {
+        name: int(fields.number(body, name, default=0))
         for name in (
             "max_header_bytes",
             "max_body_bytes",
             "header_timeout_ms",
             "idle_timeout_ms",
         )
-        if body.get(name)
     }
-    return table.Limits(**known)
+    return table.Limits(**{k: v for k, v in stated.items() if v})
 
 
 def _parse_route(body: Mapping[str, Any]) -> table.Route:
-    split: Sequence[Any] = body.get("traffic_split") or (
-        {"service": body["service"], "weight": 1},
+    timeout_ms = int(fields.number(body, "timeout_ms"))
+    split = fields.array(body, "traffic_split") or (
+        {"service": fields.text(body, "service"), "weight": 1},
     )
     return table.Route(
-        name=_non_empty_string(body["name"]),
-        host=_non_empty_string(body["host"]).lower(),
-        path_prefix=_non_empty_string(body["path_prefix"]),
-        kind=ROUTE_KINDS[body["kind"]],
-        timeout_ms=int(body["timeout_ms"]),
-        latency_target_ms=int(
-            body.get("target_latency_ms") or body["timeout_ms"]
-        ),
-        gap_target_ms=int(body.get("target_gap_ms") or 0),
-        priority=_whole(body, "priority", MAX_PRIORITY),
+        name=fields.text(body, "name"),
+        host=fields.text(body, "host").lower(),
+        path_prefix=fields.text(body, "path_prefix"),
+        kind=fields.choice(body, "kind", ROUTE_KINDS),
+        timeout_ms=timeout_ms,
+        latency_target_ms=_number(body, "target_latency_ms") or timeout_ms,
+        gap_target_ms=_number(body, "target_gap_ms"),
+        priority=int(fields.number(body, "priority", MAX_PRIORITY, default=0)),
         service_weights=tuple(
-            (_non_empty_string(part["service"]), float(part["weight"]))
-            for part in split
+            (fields.text(part, "service"), fields.number(part, "weight"))
+            for part in (fields.as_mapping(p, "traffic_split") for p in split)
         ),
-        max_attempts=max(1, int(body.get("max_attempts") or 1)),
-        public=bool(body.get("public")),
-        resumable=bool(body.get("resumable")),
+        max_attempts=max(1, _number(body, "max_attempts")),
+        public=fields.flag(body, "public"),
+        resumable=fields.flag(body, "resumable"),
     )
 
 
 def _parse_service(body: Mapping[str, Any]) -> table.Service:
-    engine = body.get("engine")
+    engine = fields.mapping(body, "engine")
     return table.Service(
-        name=_non_empty_string(body["name"]),
-        health_path=str(body.get("health_path") or ""),
-        max_connections=int(body.get("max_connections") or 0),
-        cold_requests_per_s=float(body.get("cold_per_s") or 0.0),
+        name=fields.text(body, "name"),
+        health_path=fields.text(body, "health_path", default=""),
+        max_connections=_number(body, "max_connections"),
+        cold_requests_per_s=fields.number(body, "cold_per_s", default=0),
         engine=_parse_engine(engine) if engine else None,
     )
 
 
 def _parse_engine(body: Mapping[str, Any]) -> table.Engine:
-    usual = body.get("usual") or {}
+    usual = fields.mapping(body, "usual")
     return table.Engine(
-        slots=max(1, int(body.get("slots") or 1)),
-        kv_capacity_tokens=int(body.get("kv_capacity_tokens") or 0),
-        step_ms=float(body.get("step_ms") or 0.0),
-        step_ms_per_request=float(body.get("per_seq_ms") or 0.0),
-        step_ms_per_1000_context_tokens=float(body.get("context_per_k") or 0.0),
-        prefill_tokens_per_ms=float(body.get("read_per_s") or 1_000.0) / 1_000,
-        prefill_ms_per_million_token_pairs=float(
-            body.get("pairs_per_m") or 0.0
+        slots=max(1, _number(body, "slots")),
+        kv_capacity_tokens=_number(body, "kv_capacity_tokens"),
+        step_ms=fields.number(body, "step_ms", default=0),
+        step_ms_per_request=fields.number(body, "per_seq_ms", default=0),
+        step_ms_per_1000_context_tokens=fields.number(
+            body, "context_per_k", default=0
+        ),
+        prefill_tokens_per_ms=(
+            fields.number(body, "read_per_s", default=0) or 1_000.0
+        )
+        / 1_000,
+        prefill_ms_per_million_token_pairs=fields.number(
+            body, "pairs_per_m", default=0
+        ),
+        prefill_chunk_tokens=_number(body, "chunk") or 2_048,
+        steps_per_pass=max(1, _number(body, "stride")),
+        loads_per_s=(fields.number(body, "loads_per_s", default=0) or 1.0),
+        full_speed_loads=max(1, _number(body, "loads_at_once")),
+        max_staged_models=_number(body, "cached_prefixes") or 1,
+        cross_domain_factor=(fields.number(body, "far_x", default=0) or 1.0),
+        formation_ms=_number(body, "form_ms"),
+        mean_prompt_tokens=_number(usual, "prompt"),
+        mean_output_tokens=_number(usual, "answer"),
+        models=tuple(
+            _parse_model(fields.as_mapping(item, "models"))
+            for item in fields.array(body, "models")
         ),
-        prefill_chunk_tokens=int(body.get("chunk") or 2_048),
-        steps_per_pass=max(1, int(body.get("stride") or 1)),
-        loads_per_s=float(body.get("loads_per_s") or 1.0),
-        full_speed_loads=max(1, int(body.get("loads_at_once") or 1)),
-        max_staged_models=int(body.get("cached_prefixes") or 1),
-        cross_domain_factor=float(body.get("far_x") or 1.0),
-        formation_ms=int(body.get("form_ms") or 0),
-        mean_prompt_tokens=int(usual.get("prompt") or 0),
-        mean_output_tokens=int(usual.get("answer") or 0),
-        models=tuple(_parse_model(item) for item in body.get("models") or ()),
     )
 
 
 def _parse_model(body: Mapping[str, Any]) -> table.Model:
     return table.Model(
-        name=_non_empty_string(body["name"]),
-        group_size=max(1, int(body.get("size") or 1)),
-        expected_share=float(body.get("share") or 0.0),
-        time_factor=float(body.get("pace") or 1.0),
-        load_ms=round(float(body.get("load_s") or 0.0) * 1_000),
-        warm_load_ms=round(float(body.get("warm_s") or 0.0) * 1_000),
+        name=fields.text(body, "name"),
+        group_size=max(1, _number(body, "size")),
+        expected_share=fields.number(body, "share", default=0),
+        time_factor=(fields.number(body, "pace", default=0) or 1.0),
+        load_ms=round(fields.number(body, "load_s", default=0) * 1_000),
+        warm_load_ms=round(fields.number(body, "warm_s", default=0) * 1_000),
     )
+
+
+def _number(body: Mapping[str, Any], name: str) -> int:
+    """Returns a number without its fraction; 0 if the field is absent."""
+    return int(fields.number(body, name, default=0))
--- a/oleanderbay/standins/group_worker.py
+++ b/oleanderbay/standins/group_worker.py
@@ -171,9 +171,11 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
+            "version": "v1",
             "domain": self.domain,
             "state": "draining" if self.draining else "ready",
             "slots": 4,
+            "cold_remaining_ms": 0,
             "born": self.born_ms,
             "sequence": len(self.orders),
             "models": [{"name": self.model}] if self.model else [],
@@ -191,9 +193,14 @@
     async def _on_report(self, request: web.Request) -> web.Response:
         if self._other(request):
             return self._refusal(421)
-        return web.json_response(
-            self.record(), headers={names.WORKER_ID: self.id}
-        )
+        report = {
+            **self.record(),
+            "busy": False,
+            "queue_depth": 0,
+            "in_flight": len(self._open),
+            "pace": 1.0,
+        }
+        return web.json_response(report, headers={names.WORKER_ID: self.id})
 
     async def _on_order(self, request: web.Request) -> web.Response:
         if self._other(request):
--- a/tests/gateway/test_kept_state.py
+++ b/tests/gateway/test_kept_state.py
@@ -10,6 +10,7 @@
 from oleanderbay.gateway import membership as membership_module
 from oleanderbay.platform import http_headers, records
 from oleanderbay.process import clock as clocks
+from tests import worker_entries
 from tests.gateway import parts, state_sizes
 
 COUNT = 2_000
@@ -78,11 +79,8 @@
         "workers",
         key,
         {
-            "service": "chat",
-            "address": "127.0.0.1:9",
-            "zone": "z1",
+            **worker_entries.GROUPED,
             "domain": f"d{number}",
-            "state": "ready",
             "born": 1,
             "cold_remaining_ms": 500,
             "group": {**group, "rank": number % 2, "state": "ready"},
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -221,3 +221,13 @@
         assert not await orders_client.is_healthy(worker, "/h", 5_000)
         assert framing_server.sent < MAX_SENT_BYTES
     await orders_client.close()
+
+
+async def test_a_report_that_names_no_start_of_a_worker_is_unknown():
+    """It would speak for every incarnation, also for one that is gone."""
+    async with client() as (orders_client, stand_in, _):
+        said = stand_in.record()
+        del said["born"]
+        stand_in.record = lambda: said
+        report = await orders_client.fetch_report(worker_of(stand_in), 2_000)
+        assert report is RESULT.UNKNOWN
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -6,18 +6,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from oleanderbay.gateway import table, workers
+from oleanderbay.gateway import interfaces, table, workers
 from oleanderbay.platform import records
+from tests import worker_entries
 
 WORKER = {
-    "service": "chat",
-    "address": "127.0.0.1:9001",
-    "zone": "z1",
-    "domain": "d1",
-    "state": "ready",
-    "slots": 4,
-    "born": 17,
-    "models": [{"name": "small"}],
+    **worker_entries.GROUPED,
     "staged": [{"name": "small"}, "large"],
     "group": {"name": "g", "epoch": 65_537, "rank": 1, "state": "open"},
 }
@@ -112,6 +106,63 @@
         decode(json.dumps({**record, field: data.draw(JSON)}).encode())
 
 
+REPORT = {
+    "stage": "prefill_decode",
+    "models": [{"name": "small", "version": 1, "adapters": []}],
+    "domain": "d1",
+    "staged": ["small"],
+    "group": {"name": "g", "epoch": 2, "rank": 0, "state": "open"},
+    "busy": False,
+    "sequence": 3,
+    "queue_depth": 0,
+    "in_flight": 1,
+    "kv_used": 486,
+    "kv_total": 984_705,
+    "handles": 0,
+    "born": 17,
+    "pace": 1.5,
+}
+
+
+def test_all_fields_of_a_report_are_parsed():
+    assert records.parse_report(REPORT, "w1") == interfaces.Report(
+        worker_id="w1",
+        membership=workers.Membership(
+            group="g", epoch=2, rank=0, state=workers.MemberState.OPEN
+        ),
+        models=("small",),
+        staged=frozenset(("small",)),
+        started_ms=17,
+        in_flight=1,
+        time_factor=1.5,
+    )
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"born": None},
+        {"born": 17.5},
+        {"born": "17"},
+        {"group": []},
+        {"group": {}},
+        {"group": {"name": ""}},
+        {"models": "small"},
+        {"staged": {"small": 1}},
+        {"in_flight": "1"},
+        {"queue_depth": True},
+        {"pace": "1"},
+        None,
+    ],
+    ids=repr,
+)
+def test_a_malformed_report_is_rejected(changes):
+    """It would speak for any start of the worker, or for no group."""
+    body = [REPORT] if changes is None else {**REPORT, **changes}
+    with pytest.raises(records.PARSE_ERRORS):
+        records.parse_report(body, "w1")
+
+
 def test_all_fields_of_a_configuration_are_parsed():
     """Valid requests would be refused if a route or key were dropped."""
     parsed = DECODER.table(json.dumps(CONFIGURATION).encode())
@@ -184,3 +235,68 @@
     )
     parsed = configuration_with_priority("routes", None)
     assert parsed.route("api.test", "/").priority == 0
+
+
+@pytest.mark.parametrize(
+    ("section", "changes"),
+    [
+        ("", {"version": "3"}),
+        ("", {"version": 3.5}),
+        ("", {"routes": {"r": ROUTE}}),
+        ("", {"services": "chat"}),
+        ("", {"tenants": "team"}),
+        ("", {"tenants": [{"name": "team", "api_keys": "k1"}]}),
+        ("", {"limits": [1]}),
+        ("", {"limits": {"max_body_bytes": "10"}}),
+        ("routes", {"public": "no"}),
+        ("routes", {"resumable": 1}),
+        ("routes", {"timeout_ms": "1000"}),
+        ("routes", {"timeout_ms": None}),
+        ("routes", {"target_latency_ms": [1]}),
+        ("routes", {"max_attempts": True}),
+        ("routes", {"traffic_split": {"service": "chat", "weight": 1}}),
+        ("routes", {"traffic_split": [{"service": "chat", "weight": "1"}]}),
+        ("services", {"health_path": 7}),
+        ("services", {"health_path": ["/h"]}),
+        ("services", {"max_connections": "5"}),
+        ("services", {"engine": []}),
+        ("services", {"engine": {"slots": "2"}}),
+        ("services", {"engine": {"usual": []}}),
+        ("services", {"engine": {"models": "small"}}),
+        ("services", {"engine": {"models": [{"name": "s", "size": "2"}]}}),
+    ],
+    ids=repr,
+)
+def test_a_configuration_with_a_field_of_another_type_is_rejected(
+    section, changes
+):
+    """It came into force with a value that nobody had written."""
+    changed = {**CONFIGURATION, **changes}
+    if section:
+        first, *rest = CONFIGURATION[section]
+        changed = {**CONFIGURATION, section: [{**first, **changes}, *rest]}
+    assert isinstance(DECODER.table(json.dumps(changed).encode()), str)
+
+
+def test_fields_that_a_configuration_may_lack_have_their_meaning():
+    """An empty text or 0 stands for absence, as before the checks."""
+    service = {
+        "name": "chat",
+        "health_path": "",
+        "max_connections": 0,
+        "cold_per_s": 26.0,
+        "engine": {"form_ms": 300.0, "far_x": 0},
+    }
+    route = {**ROUTE, "target_latency_ms": 0, "public": None}
+    parsed = DECODER.table(
+        json.dumps(
+            {"version": 1, "routes": [route], "services": [service]}
+        ).encode()
+    )
+    assert parsed.route("api.test", "/x").latency_target_ms == 1_000
+    assert not parsed.route("api.test", "/x").public
+    assert not parsed.key_required
+    found = parsed.services["chat"]
+    assert (found.health_path, found.max_connections) == ("", 0)
+    assert found.engine.formation_ms == 300
+    assert found.engine.cross_domain_factor == 1.0
