Let the simulation of group owners cut links, freeze workers and lose the store

Missing: the simulation had no cut between a head and its member only, no frozen worker, no zone, no one-way cut, no cut between gateways, and no restoration of the store. It judged only TWO and PARTIAL.

Change: directed links, which may be cut several times at once, connect gateways, workers and the store. Workers may be frozen: an order that arrives meanwhile is carried out when they go on. The store of the simulation has its own module and may return to an earlier time in a new era. Each order is judged when a worker carries it out: FENCE (no order after one with a higher fence), DUTY (sent while its sender could own the domain), EPOCH (one list and model for a name and epoch), NEW (no new group for a draining worker or an evacuated zone), CLOSE (no order to leave from the owner whose order to close the head is still carrying out), beside TWO and PARTIAL.

The clock lets tasks run until all of them sleep, in place of twenty turns of the event loop for each sleeper, which took most of the time.

--- a/tests/gateway/explore_groups.py
+++ b/tests/gateway/explore_groups.py
@@ -29,14 +29,14 @@
     broken = taken_apart = 0
     accepted = collections.Counter()
     for seed in range(arguments.first, arguments.first + arguments.count):
-        rig = asyncio.run(group_faults.play(seed, _configure_logs))
+        rig = asyncio.run(group_faults.play(seed, configure_logs))
         accepted.update(
             line.split()[1] for _, line in rig.trace if line.endswith("begun")
         )
         if arguments.trace:
             for at_ms, line in rig.trace:
                 print(f"{at_ms:6} {line}")
-        taken_apart += bool(rig.taken_apart)
+        taken_apart += bool(rig.invariants.taken_apart)
         for violation in rig.violations:
             broken += 1
             print(
@@ -51,7 +51,7 @@
     sys.exit(1 if broken else 0)
 
 
-def _configure_logs(rig):
+def configure_logs(rig):
     """Lets the gateways' logs go into the trace of a rig."""
 
     def note(logger, method, event):
--- a/tests/gateway/group_gateways.py
+++ b/tests/gateway/group_gateways.py
@@ -16,7 +16,7 @@
     state,
     table,
 )
-from tests.gateway import parts
+from tests.gateway import group_network, parts
 
 RESULT = interfaces.OrderResult
 
@@ -50,6 +50,9 @@
 HEARTBEAT_MS = 200
 OWNERSHIP_TTL_MS = 1_400
 JOIN_INTERVAL_MS = 500
+# Records that a restored store lacks are dropped after this time.
+RESTORED_MS = 3_000
+PEER_LIVE_MS = 1_500
 
 
 class PausableClock:
@@ -68,81 +71,22 @@
         await self.running.wait()
 
 
-class Assignments:
-    """Gives one domain to one of the gateways at a time.
-
-    A holder that is alive gives the domain up when it learns of a new
-    generation, unless all assignments are made anew at once.
-    """
-
-    partitions = 1
-
-    def __init__(self, clock):
-        self.clock = clock
-        self.generation = 0
-        self.wanted = ""
-        self.holder = ""
-        self.members = {}
-        self.down = False
-
-    async def join(self, member, ttl_ms, generation):
-        await self.clock.sleep_ms(4)
-        if self.down:
-            raise interfaces.StoreError("down")
-        now_ms = self.clock.now_ms()
-        for other, (_, until_ms) in tuple(self.members.items()):
-            if until_ms <= now_ms and other != member:
-                await self.leave(other)
-        if member not in self.members:
-            self.generation += 1
-            self.wanted = self.wanted or member
-        self.members[member] = (generation, now_ms + ttl_ms)
-        if self.holder != self.wanted and (
-            not self.holder
-            or (self.holder == member and generation >= self.generation)
-        ):
-            self.holder = self.wanted
-        held = member == self.holder == self.wanted
-        return interfaces.Ownership(
-            self.generation, frozenset((0,)) if held else frozenset()
-        )
-
-    async def leave(self, member):
-        if self.members.pop(member, None) is not None:
-            self.generation += 1
-        if self.holder == member:
-            self.holder = ""
-        if self.wanted == member:
-            self.wanted = next(iter(self.members), "")
-
-    def rebalance(self, member, at_once):
-        """Assigns the domain to a member.
-
-        Args:
-            member: The member.
-            at_once: Whether the holder loses it without having learned of it.
-        """
-        if member in self.members:
-            self.generation += 1
-            self.wanted = member
-            if at_once:
-                self.holder = member
-
-
 class SimulatedGateway:
     """The parts of a gateway that decide about groups.
 
     Attributes:
         name: Name of this run of the gateway.
+        zone: Its zone.
         alive: Whether it runs.
         cut_from: Ids of the workers that it can't reach.
         read_from_ms: Time from which on it reads records without a gap.
         delay_ms: Delay of the records.
     """
 
-    def __init__(self, rig, name):
+    def __init__(self, rig, name, zone):
         self.rig = rig
         self.name = name
+        self.zone = zone
         self.alive = True
         self.cut_from = set()
         self.clock = PausableClock(rig.clock)
@@ -165,7 +109,12 @@
         self.demand.has_traffic = rig.has_traffic
         self.read_from_ms = rig.clock.now_ms()
         self.reads = True
+        self.heard_ms = {}
         self.applied = 0
+        self.applied_zones = 0
+        self.era = 0
+        self.unconfirmed = ()
+        self.settled_ms = 0
         self.controller = controller.GroupController(
             self.state,
             self._uninterrupted_ms,
@@ -192,29 +141,85 @@
         await run()
 
     def _uninterrupted_ms(self):
-        if not self.reads:
+        if not self._reads_store():
             return 0
         return self.rig.clock.now_ms() - self.read_from_ms
 
     async def _read(self):
         while True:
             await self.clock.sleep_ms(self.rig.rng.choice((20, 100, 500)))
-            if not self.reads:
+            if not self._reads_store():
+                if self.reads:
+                    self.read_from_ms = self.rig.clock.now_ms()
                 continue
-            for offset, worker_id, record in self.rig.records[self.applied :]:
-                self.state.apply_worker(
-                    interfaces.KeyedRecord(offset, worker_id, None)
-                    if record is None
-                    else self.decoder.record(offset, worker_id, record)
+            records = self.rig.records
+            if self.era != records.era:
+                self._read_restored(records)
+            for offset, worker_id, record in records.entries[self.applied :]:
+                self.apply(offset, worker_id, record)
+            self.applied = len(records.entries)
+            for offset, zone, evacuated in records.zones[self.applied_zones :]:
+                self.state.apply_configuration(
+                    interfaces.KeyedRecord(
+                        offset, f"zone/{zone}", b"" if evacuated else None
+                    )
                 )
-            self.applied = len(self.rig.records)
+            self.applied_zones = len(records.zones)
+            if self.unconfirmed and self.rig.clock.now_ms() >= self.settled_ms:
+                known = records.latest()
+                for worker_id in self.unconfirmed:
+                    if known.get(worker_id, (0, "", None))[2] is None:
+                        self.apply(0, worker_id, None)
+                self.unconfirmed = ()
+
+    def _reads_store(self):
+        return self.reads and self.rig.links.is_open_both_ways(
+            self.name, group_network.STORE
+        )
+
+    def apply(self, offset, worker_id, record):
+        """Applies a record of a worker; None drops the worker."""
+        self.state.apply_worker(
+            interfaces.KeyedRecord(offset, worker_id, None)
+            if record is None
+            else self.decoder.record(offset, worker_id, record)
+        )
+
+    def _read_restored(self, records):
+        """Reads all of a restored store; keeps what it has only older."""
+        latest = records.latest()
+        for offset, worker_id, record in latest.values():
+            if record is None:
+                continue
+            known = self.state.workers.get(worker_id)
+            restored = self.decoder.record(offset, worker_id, record)
+            if known is None or not self.state.is_outdated_worker(
+                self.decoder.record(0, worker_id, known), restored
+            ):
+                self.state.apply_worker(restored)
+        self.era = records.era
+        self.applied = len(records.entries)
+        self.read_from_ms = self.rig.clock.now_ms()
+        self.settled_ms = self.read_from_ms + RESTORED_MS
+        self.unconfirmed = tuple(
+            sorted(
+                worker_id
+                for worker_id in self.state.workers
+                if latest.get(worker_id, (0, "", None))[2] is None
+            )
+        )
 
     async def _exchange(self):
         while True:
             await self.clock.sleep_ms(HEARTBEAT_MS)
             said = self.health.report()
             for peer in self.rig.gateways.values():
-                if peer is not self and peer.alive:
+                if (
+                    peer is not self
+                    and peer.alive
+                    and self.rig.links.is_open(self.name, peer.name)
+                ):
+                    peer.heard_ms[self.name] = self.rig.clock.now_ms()
                     peer.health.update_peer(
                         self.name,
                         said["suspects"],
@@ -223,10 +228,20 @@
                     )
                     peer.demand.has_traffic |= self.demand.has_traffic
             alive = frozenset(
-                name for name, peer in self.rig.gateways.items() if peer.alive
+                name
+                for name, peer in self.rig.gateways.items()
+                if peer.alive and self._hears(name)
             )
             self.health.retain_peers(alive, frozenset(self.state.workers))
 
+    def _hears(self, name):
+        """Whether a peer counts as live: it is reached or was heard lately."""
+        return (
+            self.rig.links.is_open(name, self.name)
+            or self.rig.clock.now_ms() - self.heard_ms.get(name, 0)
+            < PEER_LIVE_MS
+        )
+
     async def _order(self, operation, worker, fence, **arguments):
         """Sends an order and returns its result as the gateway learns it."""
         try:
--- a/tests/gateway/group_rig.py
+++ b/tests/gateway/group_rig.py
@@ -1,33 +1,22 @@
 """Several gateways that share one domain of simulated workers."""
 
 import asyncio
-import dataclasses
 import random
 
 from oleanderbay.gateway import dialing, interfaces
-from oleanderbay.process import clock as clocks
-from tests.gateway import group_gateways, group_workers
+from tests.gateway import (
+    group_gateways,
+    group_invariants,
+    group_network,
+    group_store,
+    group_workers,
+)
 
 RESULT = interfaces.OrderResult
 
 EXPIRY_MS = 3 * group_workers.HEARTBEAT_MS
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Violation:
-    """A rule that was broken.
-
-    Attributes:
-        at_ms: Time of the simulation.
-        rule: Name of the rule.
-        text: What happened.
-    """
-
-    at_ms: int
-    rule: str
-    text: str
-
-
 class Rig:
     """Gateways, workers, the store between them, and what disturbs them.
 
@@ -38,39 +27,53 @@
         timeout_share: Share of the reports that a busy gateway misses.
         late_record_share: Share of the records that reach the store only after
             newer ones.
-        violations: What broke a rule.
-        taken_apart: Orders to leave that ended a whole group that served.
+        next_orders: What happens to the next orders, as operation or
+            empty for any, fault and delay.
+        next_records: What happens to the next record of a worker, by its id,
+            as delay or -1 for lost.
+        invariants: Judges what the workers do.
         trace: What happened, with the time.
     """
 
-    def __init__(self, seed, workers=12, gateways=3):
+    def __init__(self, seed, workers=12, gateways=3, zones=1):
         self.rng = random.Random(seed)
-        self.clock = clocks.ManualClock()
-        self.assignments = group_gateways.Assignments(self.clock)
-        self.records = []
-        self.written_ms = {}
-        self.was_ready = set()
+        self.clock = group_network.SettlingClock()
+        self.links = group_network.Links()
+        self.assignments = group_store.Assignments(self.clock, self.links)
+        self.records = group_store.Records(self.clock)
+        self.invariants = group_invariants.Invariants(self)
+        self.zones = zones
         self.has_traffic = False
         self.late_share = 0.0
         self.lost_share = 0.0
         self.timeout_share = 0.0
         self.late_record_share = 0.0
-        self.violations = []
-        self.taken_apart = 0
+        self.next_orders = []
+        self.next_records = {}
         self.trace = []
         self.tasks = []
         self.workers = {}
         self.gateways = {}
         self.started = 0
-        for number in range(workers):
-            worker_id = f"w{number}"
-            self.workers[worker_id] = group_workers.SimulatedWorker(
-                self, worker_id
-            )
+        for _ in range(workers):
+            self.add_worker()
         for _ in range(gateways):
             self.start_gateway()
         self.run(self._beat())
 
+    @property
+    def violations(self):
+        """What broke a rule."""
+        return self.invariants.violations
+
+    def add_worker(self):
+        """Starts a worker with a new id."""
+        number = len(self.workers)
+        worker_id = f"w{number}"
+        self.workers[worker_id] = group_workers.SimulatedWorker(
+            self, worker_id, f"z{1 + number % self.zones}"
+        )
+
     def note(self, *parts_of_line):
         """Adds a line to the trace."""
         self.trace.append(
@@ -93,7 +96,9 @@
         """Starts a gateway that knows nothing yet."""
         self.started += 1
         name = f"g{self.started}"
-        self.gateways[name] = group_gateways.SimulatedGateway(self, name)
+        self.gateways[name] = group_gateways.SimulatedGateway(
+            self, name, f"z{1 + self.started % self.zones}"
+        )
         self.note("start", name)
 
     def begin_traffic(self):
@@ -112,19 +117,34 @@
         self.note("kill", gateway.name)
 
     def reaches(self, gateway, worker):
-        """Whether a gateway reaches a worker, by itself or if allowed to.
+        """Whether a gateway gets answers of a worker."""
+        return worker.thawed.is_set() and all(self.path(gateway, worker))
+
+    def path(self, gateway, worker):
+        """Returns whether requests arrive at a worker, and answers return.
 
         Tasks that `connecting_to` allows it may ask any other gateway.
         """
         if not worker.alive or worker.cut:
-            return False
-        others = (
-            self.gateways.values() if dialing._TARGET.get() is not None else ()
-        )
-        return any(
-            one.alive and worker.id not in one.cut_from
-            for one in (gateway, *others)
-        )
+            return False, False
+        arrives = False
+        for one in (gateway, *self.gateways.values()):
+            if one is not gateway and (
+                dialing._TARGET.get() is None
+                or not one.alive
+                or not one.clock.running.is_set()
+                or not self.links.is_open_both_ways(gateway.name, one.name)
+            ):
+                continue
+            if (
+                one.alive
+                and worker.id not in one.cut_from
+                and self.links.is_open(one.name, worker.id)
+            ):
+                arrives = True
+                if self.links.is_open(worker.id, one.name):
+                    return True, True
+        return arrives, False
 
     def times_out(self):
         """Whether a report comes too late for a busy gateway."""
@@ -139,45 +159,81 @@
     async def deliver(self, gateway, record, operation, fence, arguments):
         """Carries an order to a worker; returns what the gateway learns."""
         worker = self.workers[record.id]
+        order = group_invariants.SentOrder(
+            gateway.name, self.clock.now_ms(), operation, fence, arguments
+        )
         await self.clock.sleep_ms(self.rng.choice((1, 3, 10)))
-        if not self.reaches(gateway, worker):
+        arrives, returns = self.path(gateway, worker)
+        fault, late_ms = self._next_order_fault(operation)
+        if not arrives or fault == "lost":
             await gateway.clock.sleep_ms(group_gateways.CONNECT_TIMEOUT_MS)
             return RESULT.UNREACHABLE
         drawn = self.rng.random()
         if drawn < self.late_share:
-            self.run(self._carry_out_late(worker, operation, fence, arguments))
+            fault, late_ms = "late", -1
+        elif drawn < self.late_share + self.lost_share:
+            returns = False
+        if fault == "late" or not worker.thawed.is_set():
+            self.run(self._carry_out_late(worker, order, late_ms))
             await gateway.clock.sleep_ms(group_gateways.ORDER_TIMEOUT_MS)
             return RESULT.UNKNOWN
-        result = worker.obey(operation, fence, **arguments)
+        result = self.invariants.carry_out(worker, order)
         self.note(gateway.name, operation, worker.id, arguments, result.value)
-        if drawn < self.late_share + self.lost_share:
+        if fault == "unanswered" or not returns:
             await gateway.clock.sleep_ms(group_gateways.ORDER_TIMEOUT_MS)
             return RESULT.UNKNOWN
         await gateway.clock.sleep_ms(self.rng.choice((1, 3, 10)))
         return result
 
-    async def _carry_out_late(self, worker, operation, fence, arguments):
-        await self.clock.sleep_ms(self.rng.randint(2_000, 12_000))
-        if worker.alive:
-            result = worker.obey(operation, fence, **arguments)
-            self.note("late", operation, worker.id, arguments, result.value)
+    def _next_order_fault(self, operation):
+        for item in self.next_orders:
+            if item[0] in ("", operation):
+                self.next_orders.remove(item)
+                self.note("order disturbed", *item)
+                return item[1], item[2]
+        return "", 0
+
+    async def _carry_out_late(self, worker, order, late_ms):
+        born_ms = worker.born_ms
+        if late_ms < 0:
+            late_ms = self.rng.randint(2_000, 12_000)
+        await self.clock.sleep_ms(late_ms)
+        await worker.thawed.wait()
+        # A later incarnation gets it too, unless it waited in this process.
+        if worker.alive and (late_ms or worker.born_ms == born_ms):
+            result = self.invariants.carry_out(worker, order)
+            self.note(
+                "late",
+                order.operation,
+                worker.id,
+                order.arguments,
+                result.value,
+            )
 
     def write_record(self, worker):
         """Writes a record of a worker to the store."""
-        if worker.cut or worker.cut_from_store:
+        if (
+            worker.cut
+            or worker.cut_from_store
+            or not self.links.is_open(worker.id, group_network.STORE)
+        ):
+            return
+        late_ms = self.next_records.pop(worker.id, None)
+        if late_ms is not None:
+            self.note("record disturbed", worker.id, late_ms)
+            if late_ms > 0:
+                self.run(self._write_late(worker.id, worker.record(), late_ms))
             return
         if self.rng.random() < self.late_record_share:
-            self.run(self._write_late(worker.id, worker.record()))
+            self.run(self._write_late(worker.id, worker.record(), -1))
             return
-        self._append(worker.id, worker.record())
+        self.records.append(worker.id, worker.record())
 
-    async def _write_late(self, worker_id, record):
-        await self.clock.sleep_ms(self.rng.randint(300, 3_000))
-        self._append(worker_id, record)
-
-    def _append(self, worker_id, record):
-        self.written_ms[worker_id] = self.clock.now_ms()
-        self.records.append((len(self.records) + 1, worker_id, record))
+    async def _write_late(self, worker_id, record, late_ms):
+        if late_ms < 0:
+            late_ms = self.rng.randint(300, 3_000)
+        await self.clock.sleep_ms(late_ms)
+        self.records.append(worker_id, record)
 
     async def _beat(self):
         """Writes the workers' heartbeats, and drops records that expire."""
@@ -186,57 +242,16 @@
             now_ms = self.clock.now_ms()
             self.update_stalls()
             for worker in self.workers.values():
-                written_ms = self.written_ms.get(worker.id)
-                if worker.alive and (
+                written_ms = self.records.written_ms.get(worker.id)
+                if worker.runs() and (
                     written_ms is None
                     or now_ms - written_ms >= group_workers.HEARTBEAT_MS
                 ):
                     self.write_record(worker)
-                written_ms = self.written_ms.get(worker.id)
+                written_ms = self.records.written_ms.get(worker.id)
                 if written_ms is not None and now_ms - written_ms >= EXPIRY_MS:
-                    del self.written_ms[worker.id]
-                    self.records.append(
-                        (len(self.records) + 1, worker.id, None)
-                    )
+                    self.records.append(worker.id, None)
 
     def update_stalls(self):
         """Updates which heads stand still."""
-        group_workers.update_stalls(self.workers, self.clock.now_ms())
-
-    def check_join(self, worker, group):
-        """Checks that no head serves the group that a worker leaves."""
-        self.update_stalls()
-        if worker.group is None:
-            return
-        head = self.workers[worker.members[0]]
-        if (
-            head.in_group(worker.group.group, worker.group.epoch)
-            and head.serves()
-        ):
-            self._violate(
-                "TWO",
-                f"{worker.id} joins {group} while {head.id} serves"
-                f" {worker.group.group}",
-            )
-
-    def check_leave(self, worker):
-        """Counts an order that ends a whole group that serves."""
-        self.update_stalls()
-        head = self.workers[worker.members[0]]
-        key = (worker.group.group, worker.group.epoch)
-        if head.in_group(*key) and head.serves() and head.stalled_ms < 0:
-            self.taken_apart += not any(
-                self.workers[member].draining for member in head.members
-            )
-
-    def check_open(self, head):
-        """Checks that all members of a group have been ready in it."""
-        for member in head.members:
-            if (member, head.group.group, head.members) not in self.was_ready:
-                self._violate(
-                    "PARTIAL", f"{head.id} opens without {member} being ready"
-                )
-
-    def _violate(self, rule, text):
-        self.violations.append(Violation(self.clock.now_ms(), rule, text))
-        self.note("violation", rule, text)
+        group_invariants.update_stalls(self)
--- a/tests/gateway/group_workers.py
+++ b/tests/gateway/group_workers.py
@@ -1,5 +1,6 @@
 """Workers that serve in groups, simulated by the published rules of orders."""
 
+import asyncio
 import dataclasses
 
 from oleanderbay.gateway import interfaces, workers
@@ -20,19 +21,23 @@
     Attributes:
         rig: The deployment that it belongs to.
         id: Its id, which a new incarnation keeps.
+        zone: Its zone.
         born_ms: Start of this incarnation.
         alive: Whether it runs.
         draining: Whether it says that it drains.
         cut: Whether nothing reaches it and it reaches nothing.
         cut_from_store: Whether its records can't reach the store.
+        thawed: Not set while the worker is frozen.
         group: Its membership; None for none.
         members: Ids of the members of its group, the head first.
     """
 
-    def __init__(self, rig, worker_id):
+    def __init__(self, rig, worker_id, zone):
         self.rig = rig
         self.id = worker_id
+        self.zone = zone
         self.alive = False
+        self.thawed = asyncio.Event()
         self.staged = frozenset()
         self.start()
 
@@ -43,6 +48,7 @@
         self.draining = False
         self.cut = False
         self.cut_from_store = False
+        self.thawed.set()
         self.group = None
         self.members = ()
         self.model = ""
@@ -59,7 +65,7 @@
             id=self.id,
             service="chat",
             address="127.0.0.1:9",
-            zone="z1",
+            zone=self.zone,
             domain="d",
             slots=4,
             draining=self.draining,
@@ -89,6 +95,24 @@
             started_ms=known.started_ms,
         )
 
+    def freeze(self):
+        """Stops the worker until it is thawed."""
+        self.thawed.clear()
+        self.rig.update_stalls()
+
+    def thaw(self):
+        """Lets a frozen worker go on."""
+        self.thawed.set()
+        self.rig.update_stalls()
+
+    def runs(self):
+        """Whether the worker is alive and not frozen."""
+        return self.alive and self.thawed.is_set()
+
+    async def _sleep_ms(self, delay_ms):
+        await self.rig.clock.sleep_ms(delay_ms)
+        await self.thawed.wait()
+
     def in_group(self, name, epoch):
         """Whether the worker is a member of a group."""
         return self.group is not None and (
@@ -128,7 +152,7 @@
         if not same:
             return RESULT.DONE if operation == "leave" else RESULT.CONFLICT
         if operation == "leave":
-            self.rig.check_leave(self)
+            self.rig.invariants.check_leave(self)
             self._set(None)
             return RESULT.DONE
         if self.group.rank or self.group.state in (
@@ -153,7 +177,7 @@
         return RESULT.BEGUN
 
     async def _finish(self, group):
-        await self.rig.clock.sleep_ms(self.rig.rng.randint(100, 2_000))
+        await self._sleep_ms(self.rig.rng.randint(100, 2_000))
         if self.group is group and self.alive:
             self._set_state(STATE.READY)
 
@@ -176,7 +200,7 @@
             return RESULT.FENCED
         if same:
             return RESULT.DONE if members == self.members else RESULT.FENCED
-        self.rig.check_join(self, group)
+        self.rig.invariants.check_join(self, group)
         known = self.model == model
         self.epoch, self.members = epoch, members
         if not known:
@@ -197,25 +221,25 @@
 
     async def _load(self, model, load_ms):
         group, born_ms = self.group, self.born_ms
-        await self.rig.clock.sleep_ms(load_ms)
+        await self._sleep_ms(load_ms)
         if self.group is group and self.born_ms == born_ms and self.alive:
             self.model, self.staged = model, frozenset((model,))
             self._set_state(STATE.READY)
-            self.rig.was_ready.add((self.id, group.group, self.members))
+            self.rig.invariants.record_ready(self)
 
     async def _open(self, group):
         born_ms = self.born_ms
-        await self.rig.clock.sleep_ms(FORM_MS)
+        await self._sleep_ms(FORM_MS)
         if self.group is group and self.born_ms == born_ms and self.alive:
-            self.rig.check_open(self)
+            self.rig.invariants.check_open(self)
             self._set_state(STATE.OPEN)
 
 
-def update_stalls(members, now_ms):
+def update_stalls(members, links, now_ms):
     """Notes which heads have begun to stand still, and breaks some.
 
-    A head stands still while one of its members is gone, cut off from it, or in
-    no group or another one.
+    A head stands still while one of its members is gone, frozen, cut off from
+    it, or in no group or another one.
     """
     for head in members.values():
         if not head.alive or head.group is None or head.group.rank:
@@ -224,15 +248,20 @@
         if head.group.state not in (STATE.OPEN, STATE.CLOSING):
             head.stalled_ms = -1
             continue
-        whole = not head.cut and all(
-            members[other].alive
-            and not members[other].cut
-            and members[other].in_group(head.group.group, head.group.epoch)
-            for other in head.members
-        )
-        if whole:
+        if is_whole(head, members, links):
             head.stalled_ms = -1
         elif head.stalled_ms < 0:
             head.stalled_ms = now_ms
-        elif now_ms - head.stalled_ms >= STALL_MS:
+        elif now_ms - head.stalled_ms >= STALL_MS and head.thawed.is_set():
             head.break_up()
+
+
+def is_whole(head, members, links):
+    """Whether a head reaches all members of its group."""
+    return not head.cut and all(
+        members[other].runs()
+        and not members[other].cut
+        and members[other].in_group(head.group.group, head.group.epoch)
+        and links.is_open_both_ways(head.id, other)
+        for other in head.members
+    )
