--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := $(VENV)/bin
 PYTHON ?= python3
 
-.PHONY: demo test lint counts unit bench bench-check report failures binary schema lock format
+.PHONY: demo test lint counts unit bench bench-check report failures binary schema lock format explore
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -43,6 +43,12 @@
 failures: $(VENV)/.installed
 	$(BIN)/python -m bench.failures
 
+# Searches interleavings of faults for one that breaks a rule of groups, such as
+# make explore EXPLORE="--seconds 600 --jobs 4".
+EXPLORE ?= --seconds 60
+explore: $(VENV)/.installed
+	$(BIN)/python -m tests.gateway.explore_group_runs $(EXPLORE)
+
 binary: $(VENV)/.installed
 	$(BIN)/python -m bench.binary
 
