--- a/tests/gateway/group_runs.py
+++ b/tests/gateway/group_runs.py
@@ -106,13 +106,13 @@
                 return Played(rig, -1)
             steps.apply(step)
         steps.end_all()
-        return Played(rig, await _settle(rig))
+        return Played(rig, await settle(rig))
     finally:
         rig.close()
         await asyncio.sleep(0)
 
 
-async def _settle(rig):
+async def settle(rig):
     """Waits until all that should hold in the end does; returns the time."""
     from_ms = rig.clock.now_ms()
     rig.note("all disturbances end")
