Wait for a report that is newer than an order to close

A late order had opened the head 115 ms before. Its report, asked for 2 ms after it had accepted the order to close, was 200 ms old and showed it ready, as it was before it opened. The owner took that as the end of the closing.

Class: a statement that is older than the order that it is taken to confirm. _check_head has no such order; it asks only about heads that it has not ordered.

Change: the owner waits for one report interval, which is the age that a report may have, before each report of a head that it closes, also before the first.

Tests of groups, dissolution, controller, allocation, conversion, partitions and ownership pass (229).

Why it works: a report that is asked for 200 ms after the acceptance shows the head after it. Cost: up to 200 ms more for a closing whose first report would have been new enough.

--- a/oleanderbay/gateway/dissolution.py
+++ b/oleanderbay/gateway/dissolution.py
@@ -17,7 +17,8 @@
 from oleanderbay.process import clock as clocks
 
 DRAIN_POLL_INTERVAL_MS = 100
-# Time between two reports of a head that is being closed.
+# Time before each report of a head that is being closed; a report is at most
+# this old.
 REPORT_INTERVAL_MS = 200
 # Reports asked of a head before its group counts as orphaned.
 HEAD_REPORT_ATTEMPTS = 2
@@ -219,6 +220,9 @@
             return
         deadline_ms = self.clock.now_ms() + 2 * self.config.workers.stall_ms
         while self.clock.now_ms() < deadline_ms:
+            # A report may be as old as this interval. One from before the
+            # order could show the head as it was before it last opened.
+            await self.clock.sleep_ms(REPORT_INTERVAL_MS)
             report = await self.prober.fetch_report(head)
             if isinstance(report, interfaces.Report) and not serves(
                 report, key
@@ -227,7 +231,6 @@
                 log.info("group closed", group=key[0])
                 self.telemetry.count_group_change("closed")
                 return
-            await self.clock.sleep_ms(REPORT_INTERVAL_MS)
 
 
 def serves(report: interfaces.Report, key: Key) -> bool:
--- a/tests/gateway/test_group_interleavings.py
+++ b/tests/gateway/test_group_interleavings.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from oleanderbay.gateway import workers
 from tests.gateway import group_faults, group_gateways, group_rig
 
 
@@ -21,6 +22,34 @@
     assert accepted["join"] and accepted["open"]
 
 
+# A report may be 200 ms old. One from before a head opened again, received
+# right after the head had accepted an order to close, ended the wait for it.
+async def test_a_report_from_before_a_head_opened_does_not_show_it_closed():
+    rig = group_rig.Rig(1, workers=6, gateways=1)
+    try:
+        await rig.clock.advance(8_000)
+        rig.begin_traffic()
+        (gateway,) = rig.gateways.values()
+        head = next(w for w in rig.workers.values() if w.serves())
+        group = head.group
+        key = (group.group, group.epoch)
+        head.obey("close", head.fence, *key)
+        await rig.clock.advance(500)
+        head._set_state(workers.MemberState.OPEN)
+        # The order to close arrives while reports are from before it opened.
+        dissolution = gateway.controller.dissolution
+        dissolution.start(gateway.state.groups()[key], graceful=True)
+        await rig.clock.advance(50)
+        assert head.group.state is workers.MemberState.CLOSING
+        while head.group.state is workers.MemberState.CLOSING:
+            assert key not in dissolution.closed
+            await rig.clock.advance(1)
+        await rig.clock.advance(500)
+        assert key in dissolution.closed
+    finally:
+        rig.close()
+
+
 # A copy of an order to join that got no answer, and was accepted when it was
 # sent again, may be carried out right after the worker has left its group.
 @pytest.mark.xfail(
