--- a/tests/gateway/explore_group_runs.py
+++ b/tests/gateway/explore_group_runs.py
@@ -44,6 +44,8 @@
         steps: Number of steps.
         reached: Orders by state of the group, operation and result.
         settled_ms: Longest time until all had settled.
+        taken_apart: Number of runs in which an order ended a whole group that
+            served. No rule forbids it, but it costs requests.
         broken: Number of runs that broke a rule, by rule.
         violations: Shortened runs that break a rule, with the violation.
     """
@@ -54,6 +56,7 @@
         default_factory=collections.Counter
     )
     settled_ms: int = 0
+    taken_apart: int = 0
     broken: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -65,6 +68,7 @@
             self.steps + other.steps,
             self.reached + other.reached,
             max(self.settled_ms, other.settled_ms),
+            self.taken_apart + other.taken_apart,
             self.broken + other.broken,
             self.violations + other.violations,
         )
@@ -96,6 +100,7 @@
         steps=count,
         reached=played.rig.invariants.reached,
         settled_ms=played.settled_ms,
+        taken_apart=int(played.rig.invariants.taken_apart > 0),
         broken=collections.Counter(v.rule for v in played.violations[:1]),
         violations=violations,
     )
@@ -180,6 +185,7 @@
         f" {total.steps / max(elapsed_s, 0.001):.0f} steps/s,"
         f" {group_coverage.count(total.reached)} pairs of state and order,"
         f" settled within {total.settled_ms} ms,"
+        f" {total.taken_apart} runs that took a serving group apart,"
         f" {sum(total.broken.values())} violations {dict(total.broken)}"
     )
 
