Choose ports of test rigs outside the range of outgoing connections

What was wrong: with six copies of tests/gateway/test_entry.py at once, one run failed with "address already in use" when a gateway bound its port.

Cause: the rigs bound port 0, closed the socket and passed the number on. Such a port comes from the range that outgoing connections and other listeners on port 0 use too, so that one of them could take it before the gateway listened. The function was there five times, in the tests, the benchmarks and the review.

Change: `oleanderbay.standins.ports` chooses ports that are free on all hosts, for TCP and UDP, below the range that the operating system states for outgoing connections, from a random start. The copies are gone. A site of the tests also no longer takes the port of its peers for another listener, and the fleet of the planned stops asks all of its hosts rather than the first one. The scripts of the review have the checkout on their path.

Why it works: nothing is given a port of that range unless it asks for it by number. Only another program that chooses ports in the same way could take one, and it starts elsewhere.

Not changed: entries that are configured with port 0 choose a port in the former way (process/entry.py).

--- a/bench/changes_fleet.py
+++ b/bench/changes_fleet.py
@@ -4,7 +4,6 @@
 import contextlib
 import dataclasses
 import random
-import socket
 import time
 from collections.abc import AsyncIterator, Iterable
 
@@ -13,7 +12,7 @@
 from oleanderbay.gateway import settings as settings_module
 from oleanderbay.platform import http_headers, names, records, store
 from oleanderbay.process import clock as clocks
-from oleanderbay.standins import metadata_store
+from oleanderbay.standins import metadata_store, ports
 
 GATEWAYS = 7
 PARTITIONS = 46
@@ -31,12 +30,6 @@
 CONTACT_S = 3.0
 
 
-def _free_port(host: str) -> int:
-    with socket.socket() as found:
-        found.bind((host, 0))
-        return int(found.getsockname()[1])
-
-
 class Disturbances:
     """Notes when the machine did not run this process for some time.
 
@@ -206,7 +199,7 @@
         made = Fleet(site, broken, [], watch)
         await made.write(1, ROUTES)
         hosts = [parts.settings_of(n, "").entry.host for n in _numbers()]
-        port = _free_port(hosts[0])
+        port = ports.free_port(*hosts)
         for number in _numbers():
             config = dataclasses.replace(
                 parts.settings_of(number, site.address),
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -9,25 +9,18 @@
 import json
 import pathlib
 import signal
-import socket
 import sys
 import tempfile
 from typing import Any
 
 import aiohttp
 
+from oleanderbay.standins import ports
+
 HOST = "127.0.0.1"
 COMMAND = (sys.executable, "-m", "oleanderbay")
 
 
-def free_port(host: str = HOST) -> int:
-    """Returns a port of a host that nothing listens on now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 class Processes:
     """Owns the processes of one run and their logs.
 
@@ -59,7 +52,7 @@
 
     async def start_standin(self, name: str, *arguments: str) -> str:
         """Starts a stand-in and returns its address."""
-        port = free_port()
+        port = ports.free_port(HOST)
         await self.start(name, "standin", *arguments, "--port", str(port))
         address = f"{HOST}:{port}"
         self.addresses[name] = address
@@ -68,8 +61,9 @@
 
     async def start_entry(self, name: str, settings: dict[str, Any]) -> None:
         """Starts an entry from settings, to which ports are added."""
-        for listener in ("callers", "peers", "operators", "admin"):
-            port = free_port()
+        listeners = ("callers", "peers", "operators", "admin")
+        found = ports.free_ports(len(listeners), (HOST,))
+        for listener, port in zip(listeners, found, strict=True):
             settings.setdefault(listener, {}).update(host=HOST, port=port)
             self.addresses[f"{name}/{listener}"] = f"{HOST}:{port}"
         path = self.directory / f"{name}.json"
--- a/bench/replication.py
+++ b/bench/replication.py
@@ -4,7 +4,6 @@
 import contextlib
 import logging
 import random
-import socket
 import time
 from collections.abc import Iterator
 
@@ -19,7 +18,7 @@
 from oleanderbay.process import interfaces
 from oleanderbay.process.configuration import replication
 from oleanderbay.process.membership import heartbeats, membership, neighbours
-from oleanderbay.standins import instances, log
+from oleanderbay.standins import instances, log, ports
 from oleanderbay.version import records, resources
 
 ENTRIES = 7
@@ -86,7 +85,7 @@
         """Starts all and waits until each hears as many as it should."""
         await self.server.start("127.0.0.1", 0)
         for number in range(self.count):
-            address = f"127.0.0.1:{_free_port()}"
+            address = f"127.0.0.1:{ports.free_port('127.0.0.1')}"
             client = log_http.HttpLog(f"http://{self.server.address}", session)
             self.logs.append(CutLog(client))
             node = replication.Replication(
@@ -298,13 +297,6 @@
     return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))]
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 @contextlib.contextmanager
 def _quiet() -> Iterator[None]:
     # Writing log lines would be measured too.
--- a/bench/stop_fleet.py
+++ b/bench/stop_fleet.py
@@ -13,7 +13,7 @@
 from bench import processes, stop_callers
 from oleanderbay.platform import names
 from oleanderbay.process import clock as clocks
-from oleanderbay.standins import group_worker, metadata_store
+from oleanderbay.standins import group_worker, metadata_store, ports
 
 HEARTBEAT_MS = 1_200
 PARTITIONS = 24
@@ -136,8 +136,9 @@
             for number in range(options.gateways)
         ]
         self.processes = processes.Processes()
-        # Only this run uses the hosts, so what is free on one is on all.
-        self.ports = _free_ports(self.hosts[0])
+        listeners = ("callers", "readiness", "directory", "peers")
+        found = ports.free_ports(len(listeners), self.hosts)
+        self.ports = dict(zip(listeners, found, strict=True))
         self.starts = dict.fromkeys(self.hosts, 0)
         self.started: set[str] = set()
         self.stops: list[Stop] = []
@@ -301,11 +302,3 @@
                 return response.status == 200
         except (aiohttp.ClientError, TimeoutError):
             return False
-
-
-def _free_ports(host: str) -> dict[str, int]:
-    """Returns ports that are free on a host, by what they are for."""
-    return {
-        name: processes.free_port(host)
-        for name in ("callers", "readiness", "directory", "peers")
-    }
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 python3 -m compileall -q review
-PYTHONPATH=target/deps:review python3 -c "import group_case"
+PYTHONPATH=target/deps:review:. python3 -c "import group_case"
--- a/review/standins.py
+++ b/review/standins.py
@@ -19,6 +19,8 @@
 import aiohttp
 from aiohttp import web
 
+from oleanderbay.standins import ports
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HEARTBEAT_MS = 1_200
 STALL_MS = 6_000
@@ -529,10 +531,11 @@
         self.gateways = []
         hosts = [f"127.0.0.{11 + number}" for number in range(count)]
         # The ports are the same on all machines.
-        ports = {name: free_port(hosts) for name in names}
+        found = ports.free_ports(len(names), hosts)
+        by_name = dict(zip(names, found, strict=True))
         for host in hosts:
             zone = "z" + "abc"[len(self.gateways) % 3]
-            self.gateways.append(Gateway(host, zone, ports))
+            self.gateways.append(Gateway(host, zone, by_name))
 
     async def start(self) -> None:
         """Starts all gateways and waits until they are ready."""
@@ -669,26 +672,3 @@
     """Returns the `host:port` of a socket."""
     host, port = sock.getsockname()
     return f"{host}:{port}"
-
-
-def free_port(hosts: list[str]) -> int:
-    """Returns a port that is free on all hosts, for TCP and UDP."""
-    for _ in range(50):
-        with contextlib.ExitStack() as stack:
-            first = stack.enter_context(socket.socket())
-            first.bind((hosts[0], 0))
-            port: int = first.getsockname()[1]
-            try:
-                for host in hosts:
-                    if host != hosts[0]:
-                        sock = stack.enter_context(socket.socket())
-                        sock.bind((host, port))
-                    kind = socket.SOCK_DGRAM
-                    sock = stack.enter_context(
-                        socket.socket(socket.AF_INET, kind)
-                    )
-                    sock.bind((host, port))
-            except OSError:
-                continue
-            return port
-    raise CannotRunError("there is no free port")
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import json
-import socket
 
 import aiohttp
 
 from oleanderbay.gateway import entry, settings
 from oleanderbay.platform import http_headers, names, orders, store
-from oleanderbay.standins import group_worker, metadata_store
+from oleanderbay.standins import group_worker, metadata_store, ports
 from tests.gateway import links, parts
 
 HOSTS = ("127.0.0.1", "127.0.0.2")
@@ -41,12 +40,6 @@
 STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(5))
 
 
-def free_port(host="127.0.0.1"):
-    with socket.socket() as listener:
-        listener.bind((host, 0))
-        return listener.getsockname()[1]
-
-
 class Site:
     """The store, the workers and the gateways of a test.
 
@@ -82,9 +75,9 @@
             self.workers.append(worker)
         task = asyncio.create_task(self._publish())
         stack.callback(task.cancel)
-        port = free_port()
+        self.peers_port = ports.free_port(*self.hosts)
         for number, host in enumerate(self.hosts):
-            await self._start_gateway(stack, f"g{number}", host, port)
+            await self._start_gateway(stack, f"g{number}", host)
 
     async def restart_gateways(self, stack):
         """Replaces all gateways by new ones, which know nothing."""
@@ -92,8 +85,8 @@
         for gateway in stopped:
             await gateway.stop()
         for gateway in stopped:
-            identity, port = gateway.config.entry, gateway.config.peers.port
-            await self._start_gateway(stack, identity.id, identity.host, port)
+            identity = gateway.config.entry
+            await self._start_gateway(stack, identity.id, identity.host)
         await self.wait_for_groups()
 
     async def wait_for_groups(self):
@@ -102,14 +95,17 @@
                 lambda g=gateway: len(self.open_groups(g)) >= 2 and g.peers.live
             )
 
-    async def _start_gateway(self, stack, name, host, port):
+    async def _start_gateway(self, stack, name, host):
+        # Gateways that start later have yet to listen on the peers' port.
+        found = set(ports.free_ports(3, (host,))) - {self.peers_port}
+        callers, readiness = sorted(found)[:2]
         config = settings.Settings(
             entry=settings.EntrySettings(id=name, zone="z1", host=host),
             listeners=settings.ListenerSettings(
-                callers=f"{host}:{free_port(host)}",
-                readiness=f"{host}:{free_port(host)}",
+                callers=f"{host}:{callers}",
+                readiness=f"{host}:{readiness}",
             ),
-            peers=settings.PeerSettings(port=port, heartbeat_ms=50),
+            peers=settings.PeerSettings(port=self.peers_port, heartbeat_ms=50),
             store=settings.StoreSettings(
                 address=self.store.address,
                 worker_interval_ms=50,
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -9,7 +9,8 @@
 from oleanderbay.connection import frames
 from oleanderbay.gateway import feed, interfaces, peers, relays, summaries
 from oleanderbay.process import clock as clocks
-from tests.gateway import parts, site
+from oleanderbay.standins import ports
+from tests.gateway import parts
 
 
 class RecordingTransport:
@@ -134,7 +135,7 @@
 # A stop left connections of peers open until the process ended, when some
 # versions of asyncio logged an error for each.
 async def test_a_stop_ends_connections_of_peers_without_an_error():
-    gateway = make_gateway(port=site.free_port())
+    gateway = make_gateway(port=ports.free_port("127.0.0.1"))
     serving = asyncio.Event()
 
     async def serve(request, reader, writer):
