Use one stand-in of the platform's store

What was wrong: the review had a store of its own beside `oleanderbay.standins.metadata_store`, 134 lines with the same five calls. The two differed where the platform's protocol is definite: the shared one answered an append with `offsets` in place of `offset` and `end_offset`, left the committed offset out of the rows of a join, and let calls write to the topics of the operator and of the workers.

Change: the shared store answers as the protocol says, refuses such writes with 403, and takes the number of records in a page as an argument, which two benchmarks set by changing a constant of the module. The review uses it, with the platform's pages of 500 records and its 4 ms for an answer. The review's store is gone.

One difference is left: a member whose time is over loses its domains in the shared store even if it is itself the next to join; in the review's store it kept them. The protocol allows both.

--- a/bench/gateway_store.py
+++ b/bench/gateway_store.py
@@ -19,6 +19,8 @@
 STORE_WORKERS = (0, 60, 120, 240, 480)
 RECORD_MS = 1_200
 STORE_SECONDS = 4
+# The pages of tests are too short for the addresses of 100 gateways.
+PAGE_ITEMS = 1_000
 
 
 class _Counts:
@@ -81,7 +83,7 @@
 
 async def _use(gateways: int, count: int) -> tuple[_Counts, float]:
     """Lets gateways use one store in real time, without any listeners."""
-    site = metadata_store.MetadataStore(partitions=46)
+    site = metadata_store.MetadataStore(partitions=46, page_items=PAGE_ITEMS)
     await site.start()
     await site.put(
         names.CONFIGURATION_TOPIC,
@@ -141,18 +143,11 @@
 
 
 def store_use() -> Iterator[harness.Result]:
-    # The pages of tests are too short for the addresses of 100 gateways.
-    shortest = metadata_store.PAGE_ITEMS
-    metadata_store.PAGE_ITEMS = 1_000
-    try:
-        by_gateways = [_store_point(n, 60) for n in STORE_GATEWAYS]
-        by_size = [
-            (1 + peers, asyncio.run(_addresses(1 + peers)))
-            for peers in parts.PEERS
-        ]
-        by_workers = [_store_point(7, n) for n in STORE_WORKERS]
-    finally:
-        metadata_store.PAGE_ITEMS = shortest
+    by_gateways = [_store_point(n, 60) for n in STORE_GATEWAYS]
+    by_size = [
+        (1 + peers, asyncio.run(_addresses(1 + peers))) for peers in parts.PEERS
+    ]
+    by_workers = [_store_point(7, n) for n in STORE_WORKERS]
     yield parts.result("store_bytes_of_addresses", "B", by_size)
     for name, axis, points in (
         ("gateways", "gateways", by_gateways),
@@ -169,7 +164,7 @@
 
 async def _addresses(count: int) -> float:
     """Returns the bytes of one read of the gateways' addresses."""
-    site = metadata_store.MetadataStore()
+    site = metadata_store.MetadataStore(page_items=PAGE_ITEMS)
     await site.start()
     counts = _Counts()
     client = store.HttpStore(site.address, 1, 5_000)
--- a/bench/sharing.py
+++ b/bench/sharing.py
@@ -24,6 +24,8 @@
 # Gateways and workers.
 SIZES = ((7, 63), (31, 300), (101, 1_000))
 WORKERS = (63, 300, 1_000, 12_000)
+# Pages must be long enough for the largest size.
+PAGE_ITEMS = 1_000
 SILENCE_MS = 800
 WARM_UP_MS = 3_600
 MEASURED_MS = 6_000
@@ -51,7 +53,9 @@
 
     def __init__(self, gateways: int, workers: int, silence_ms: int) -> None:
         self.clock = clocks.ManualClock()
-        self.site = metadata_store.MetadataStore(clock=self.clock)
+        self.site = metadata_store.MetadataStore(
+            clock=self.clock, page_items=PAGE_ITEMS
+        )
         self.network = zone.Network()
         self.workers = workers
         hosts = tuple(zone.host_of(number) for number in range(gateways))
@@ -171,13 +175,8 @@
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
     )
-    shortest = metadata_store.PAGE_ITEMS
-    metadata_store.PAGE_ITEMS = 1_000
-    try:
-        for gateways, workers in sizes:
-            yield from _point(gateways, workers)
-    finally:
-        metadata_store.PAGE_ITEMS = shortest
+    for gateways, workers in sizes:
+        yield from _point(gateways, workers)
 
 
 def _batch_us(workers: int) -> float:
--- a/oleanderbay/standins/metadata_store.py
+++ b/oleanderbay/standins/metadata_store.py
@@ -1,7 +1,9 @@
 """A stand-in for the platform's metadata store.
 
 Topics are created by their first append. Keyed records are one byte with the
-length of the key, the key and the value; an empty value drops the key.
+length of the key, the key and the value; an empty value drops the key. Calls
+may not write to the topics of the operator and of the workers; these records
+are put directly.
 """
 
 import asyncio
@@ -18,8 +20,11 @@
 from oleanderbay.standins import server
 
 FAULTS = ("refuse", "silent", "lose_answer", "slow", "expire")
-# Pages of the newest records are this long, so that tests see several.
+READ_ONLY_TOPICS = (names.CONFIGURATION_TOPIC, names.WORKERS_TOPIC)
+# Pages of the newest records are this short, so that tests see several.
 PAGE_ITEMS = 2
+# The platform's own pages are this long.
+PLATFORM_PAGE_ITEMS = 500
 
 _LENGTH = struct.Struct(">I")
 _ENDS = struct.Struct(">QQ")
@@ -44,6 +49,7 @@
     Attributes:
         address: `host:port` that it listens on.
         partitions: Partitions that members share.
+        page_items: Number of the newest records in a page.
         faults: Remaining number of calls that each fault happens to.
         refuse_status: Status of the fault `refuse`.
         slow_ms: Delay of the fault `slow`.
@@ -56,9 +62,13 @@
     """
 
     def __init__(
-        self, partitions: int = 1, clock: clocks.Clock | None = None
+        self,
+        partitions: int = 1,
+        clock: clocks.Clock | None = None,
+        page_items: int = PAGE_ITEMS,
     ) -> None:
         self.partitions = partitions
+        self.page_items = page_items
         self.clock = clock or clocks.SystemClock()
         self.address = ""
         self.faults = dict.fromkeys(FAULTS, 0)
@@ -160,14 +170,18 @@
         return response
 
     async def _on_append(self, request: web.Request) -> web.Response:
-        body, position, offsets = await request.read(), 0, []
+        topic, body, position = request.query["topic"], await request.read(), 0
+        if topic in READ_ONLY_TOPICS:
+            return web.json_response({}, status=403)
+        first = len(self.topics.get(topic, ()))
         while position < len(body):
             (length,) = _LENGTH.unpack_from(body, position)
             position += _LENGTH.size
             content = body[position : position + length]
             position += length
-            offsets.append(await self.append(request.query["topic"], content))
-        return web.json_response({"offsets": offsets})
+            await self.append(topic, content)
+        end = len(self.topics.get(topic, ()))
+        return web.json_response({"offset": first, "end_offset": end})
 
     async def _on_read(self, request: web.Request) -> web.Response:
         topic = request.query["topic"]
@@ -204,10 +218,10 @@
                     "offset": found[key][0],
                     "value": base64.b64encode(found[key][1]).decode(),
                 }
-                for key in keys[:PAGE_ITEMS]
+                for key in keys[: self.page_items]
             ],
             "end_offset": len(self.topics.get(topic, ())),
-            "has_more": len(keys) > PAGE_ITEMS,
+            "has_more": len(keys) > self.page_items,
         }
         headers = {names.STORE_ERA: str(self.era)}
         if self.between_pages is not None:
@@ -228,7 +242,7 @@
         return web.json_response(
             {
                 "generation": self.generation,
-                "parts": [[names.DOMAINS_TOPIC, p] for p in sorted(mine)],
+                "parts": [[names.DOMAINS_TOPIC, p, 0] for p in sorted(mine)],
             }
         )
 
--- a/review/group_case.py
+++ b/review/group_case.py
@@ -69,7 +69,7 @@
 
     def __init__(self, record: standins.Record) -> None:
         self.record = record
-        self.store = standins.Store(record)
+        self.store = standins.make_store()
         self.platform = standins.Platform(self.store, record, 3)
         self.workers: dict[str, standins.Worker] = {}
         # Group and head of each worker after its last order.
--- a/review/standins.py
+++ b/review/standins.py
@@ -1,7 +1,6 @@
 """Stand-ins for the platform's store, workers and the platform itself."""
 
 import asyncio
-import base64
 import contextlib
 import dataclasses
 import json
@@ -9,7 +8,6 @@
 import pathlib
 import signal
 import socket
-import struct
 import sys
 import tempfile
 import time
@@ -19,13 +17,13 @@
 import aiohttp
 from aiohttp import web
 
-from oleanderbay.standins import ports
+from oleanderbay.standins import metadata_store, ports
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HEARTBEAT_MS = 1_200
 STALL_MS = 6_000
 FORM_MS = 300
-STORE_ANSWER_S = 0.004
+STORE_ANSWER_MS = 4
 PARTITIONS = 24
 
 
@@ -34,6 +32,15 @@
     return time.monotonic_ns() // 1_000_000
 
 
+def make_store() -> metadata_store.MetadataStore:
+    """Returns the platform's store."""
+    store = metadata_store.MetadataStore(
+        PARTITIONS, page_items=metadata_store.PLATFORM_PAGE_ITEMS
+    )
+    store.answer_ms = STORE_ANSWER_MS
+    return store
+
+
 class Record:
     """Writes what happens to a file, one line each."""
 
@@ -52,153 +59,6 @@
         self._file.close()
 
 
-class Store:
-    """The platform's store: keyed topics and one group of members."""
-
-    def __init__(self, record: Record) -> None:
-        self.record = record
-        self.address = ""
-        self.topics: dict[str, list[tuple[str, bytes]]] = {}
-        self.generation = 0
-        # Confirmed generation and end of the membership, by member.
-        self.members: dict[str, tuple[int, int]] = {}
-        self.holders: dict[int, str] = {}
-        self._written = asyncio.Condition()
-        self._runner: web.AppRunner | None = None
-
-    async def start(self) -> None:
-        """Listens on a free port."""
-        app = web.Application()
-        app.add_routes(
-            [
-                web.post("/log-append", self._on_append),
-                web.get("/log-read", self._on_read),
-                web.get("/log-newest", self._on_newest),
-                web.post("/log-join", self._on_join),
-                web.post("/log-leave", self._on_leave),
-            ]
-        )
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
-        await self._runner.setup()
-        sock = listening_socket("127.0.0.1")
-        self.address = address_of(sock)
-        await web.SockSite(self._runner, sock).start()
-
-    async def close(self) -> None:
-        """Stops listening."""
-        if self._runner is not None:
-            await self._runner.cleanup()
-
-    async def put(self, topic: str, key: str, value: bytes) -> int:
-        """Appends a keyed record; an empty value drops the key."""
-        records = self.topics.setdefault(topic, [])
-        records.append((key, value))
-        async with self._written:
-            self._written.notify_all()
-        return len(records) - 1
-
-    async def _on_append(self, request: web.Request) -> web.Response:
-        await asyncio.sleep(STORE_ANSWER_S)
-        topic, body = request.query["topic"], await request.read()
-        if topic in ("keyed.op", "keyed.servers"):
-            return web.json_response({}, status=403)
-        position, first = 0, len(self.topics.get(topic, ()))
-        while position < len(body):
-            (length,) = struct.unpack_from(">I", body, position)
-            content = body[position + 4 : position + 4 + length]
-            position += 4 + length
-            size = content[0]
-            await self.put(
-                topic, content[1 : 1 + size].decode(), content[1 + size :]
-            )
-        return web.json_response(
-            {"offset": first, "end_offset": len(self.topics.get(topic, ()))}
-        )
-
-    async def _on_read(self, request: web.Request) -> web.Response:
-        await asyncio.sleep(STORE_ANSWER_S)
-        records = self.topics.setdefault(request.query["topic"], [])
-        start = int(request.query["from"])
-        wait_s = int(request.query.get("wait_ms", "0")) / 1000
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(wait_s), self._written:
-                await self._written.wait_for(lambda: start < len(records))
-        body = struct.pack(">QQ", len(records), 0)
-        for key, value in records[start:]:
-            name = key.encode()
-            content = bytes((len(name),)) + name + value
-            body += struct.pack(">I", len(content)) + content
-        return web.Response(body=body)
-
-    async def _on_newest(self, request: web.Request) -> web.Response:
-        await asyncio.sleep(STORE_ANSWER_S)
-        records = self.topics.get(request.query["topic"], [])
-        newest = {
-            key: (offset, value) for offset, (key, value) in enumerate(records)
-        }
-        items = [
-            {
-                "key": key,
-                "value": base64.b64encode(value).decode(),
-                "offset": offset,
-            }
-            for key, (offset, value) in sorted(newest.items())
-            if value and key > request.query.get("start_after", "")
-        ]
-        return web.json_response(
-            {
-                "items": items[:500],
-                "has_more": len(items) > 500,
-                "end_offset": len(records),
-            }
-        )
-
-    async def _on_join(self, request: web.Request) -> web.Response:
-        await asyncio.sleep(STORE_ANSWER_S)
-        body = await request.json()
-        name = body["member"]
-        for member, (_, until_ms) in tuple(self.members.items()):
-            if until_ms <= now_ms() and member != name:
-                self._remove(member)
-        if name not in self.members:
-            self.generation += 1
-        self.members[name] = (
-            int(body["generation"]),
-            now_ms() + int(body["ttl_ms"]),
-        )
-        order = sorted(self.members)
-        for part in range(PARTITIONS):
-            wanted, holder = order[part % len(order)], self.holders.get(part)
-            if holder is None or (
-                holder != wanted and self.members[holder][0] >= self.generation
-            ):
-                self.holders[part] = wanted
-        topic = body["topics"][0]
-        return web.json_response(
-            {
-                "generation": self.generation,
-                "ttl_ms": body["ttl_ms"],
-                "parts": [
-                    [topic, part, 0]
-                    for part, holder in sorted(self.holders.items())
-                    if holder == name
-                ],
-            }
-        )
-
-    async def _on_leave(self, request: web.Request) -> web.Response:
-        await asyncio.sleep(STORE_ANSWER_S)
-        self._remove((await request.json())["member"])
-        return web.json_response({})
-
-    def _remove(self, name: str) -> None:
-        if self.members.pop(name, None) is not None:
-            self.generation += 1
-        for part, holder in tuple(self.holders.items()):
-            if holder == name:
-                del self.holders[part]
-
-
 def _ignore(*_: Any) -> None:
     """Does nothing."""
 
@@ -220,7 +80,11 @@
     """
 
     def __init__(
-        self, worker_id: str, service: str, store: Store, record: Record
+        self,
+        worker_id: str,
+        service: str,
+        store: metadata_store.MetadataStore,
+        record: Record,
     ) -> None:
         self.id = worker_id
         self.service = service
@@ -523,7 +387,9 @@
 class Platform:
     """Starts gateways with the command of the deploy file."""
 
-    def __init__(self, store: Store, record: Record, count: int) -> None:
+    def __init__(
+        self, store: metadata_store.MetadataStore, record: Record, count: int
+    ) -> None:
         self.store = store
         self.record = record
         self.folder = tempfile.TemporaryDirectory()
