Use one stand-in of a worker

What was wrong: the review had a worker of its own, 320 lines, beside `oleanderbay.standins.group_worker`: the same orders, reports and answers, and besides them heartbeats, expiry, cuts and a record, which no test could use.

Change: the shared worker can do this now, and the review's is gone. `registration.Registration` writes a worker's entry at each change and heartbeat and removes it after three intervals of silence, also one of another writer. `worker_listener.WorkerListener` takes orders, reports, answers health checks and can be cut off from everything; `GroupWorker` is left with requests and their faults. On request it serves only as the head of an open group, takes a time for each answer, says what happens to it (runs, orders, changes of its group) and exits with the requests that run.

The scripts of the review imported only one of their two modules before a case: an error in the other one ended with 1, "rule broken". They import both now, so that it ends with 2.

Not moved: the part of review/standins.py that starts gateways, and the record file.

--- a/oleanderbay/standins/group_worker.py
+++ b/oleanderbay/standins/group_worker.py
@@ -12,14 +12,13 @@
 import json
 import socket
 import struct
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 from aiohttp import web
 
 from oleanderbay.platform import names
 from oleanderbay.process import clock as clocks
-from oleanderbay.standins import group_member, server
+from oleanderbay.standins import worker_listener
 
 FAULTS = (
     "refuse",
@@ -40,7 +39,6 @@
 STREAM_FAULTS = ("no_length_empty",)
 # Faults that happen before the request runs.
 NOT_RUN = ("refuse", "reset_before", "other_worker")
-FINISH_STEP_MS = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,6 +51,7 @@
         path: Path with query.
         body: The body.
         port: The caller's port, which stands for its connection.
+        began_ms: When it began to run.
     """
 
     request_id: str
@@ -60,17 +59,16 @@
     path: str
     body: bytes
     port: int = 0
+    began_ms: int = 0
 
 
-class GroupWorker(group_member.GroupMember):
-    """One worker with faults, which takes orders by the rules of a member.
+class GroupWorker(worker_listener.WorkerListener):
+    """One worker with faults.
 
     Attributes:
-        address: `host:port` that it listens on.
         faults: Remaining number of requests that each fault happens to.
         executions: The requests that ran.
         abandoned: Requests whose connection ended before the answer did.
-        orders: Orders that were received, with the status given.
         events: Number of events in a stream.
         crashing_part: Id of a prompt's part; a request with it ends all
             requests of the worker once its answer begins. Empty for none.
@@ -79,12 +77,10 @@
         crashed: Whether it has ended in that way.
         rate_limit: Requests a second that it states as its limit; empty for
             none.
-        says_draining: Whether its responses state that it drains, which its
-            record need not.
-        rest_s: Retry-After of refusals; empty for none.
-        refused: Number of requests that were refused.
         at_fault: Member that the head names in a 503; empty for none.
         hold_after: Event after which streams wait for `released`.
+        work_ms: Time before each answer and each event.
+        grouped: Whether it serves only as the head of an open group.
         ended: Called at the end of each execution, with whether its answer
             is complete.
     """
@@ -99,81 +95,23 @@
         clock: clocks.Clock | None = None,
         form_ms: int = 10,
     ) -> None:
-        super().__init__(worker_id, clock or clocks.SystemClock(), form_ms)
-        self.service = service
-        self.zone = zone
-        self.domain = domain
-        self.load_ms = load_ms
-        self.born_ms = self.clock.wall_ms()
-        self.address = ""
-        self.draining = False
+        super().__init__(
+            worker_id, service, zone, domain, load_ms, clock, form_ms
+        )
         self.faults = dict.fromkeys((*FAULTS, *STREAM_FAULTS), 0)
         self.executions: list[Execution] = []
         self.abandoned = 0
-        self.orders: list[tuple[dict[str, Any], int]] = []
         self.events = 5
         self.crashing_part = ""
         self.crashing_path = ""
         self.crashed = False
         self.rate_limit = ""
-        self.says_draining = False
-        self.rest_s = ""
-        self.refused = 0
         self.at_fault = ""
         self.hold_after = -1
         self.released = asyncio.Event()
+        self.work_ms = 0
+        self.grouped = False
         self.ended: Callable[[Execution, bool], None] = lambda *_: None
-        self._running: list[web.Request] = []
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._server = server.HttpServer(cancels=True)
-
-    async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
-        """Listens; port 0 picks a free one, see `address`."""
-        app = web.Application(client_max_size=1 << 30)
-        app.add_routes(
-            [
-                web.get(names.REPORT_PATH, self._on_report),
-                web.post(names.ORDER_PATH, self._on_order),
-                web.route("*", "/{path:.*}", self._serve),
-            ]
-        )
-        self.address = await self._server.start(app, host, port)
-
-    async def close(self) -> None:
-        """Stops listening and ends its loads."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._server.close()
-
-    def record(self) -> dict[str, Any]:
-        """Returns what the worker writes to the store."""
-        group = None
-        if self.group is not None:
-            group = {
-                "name": self.group.group,
-                "epoch": self.group.epoch,
-                "rank": self.group.rank,
-                "state": self.group.state.value,
-            }
-        return {
-            "service": self.service,
-            "address": self.address,
-            "zone": self.zone,
-            "version": "v1",
-            "domain": self.domain,
-            "state": "draining" if self.draining else "ready",
-            "slots": 4,
-            "cold_remaining_ms": 0,
-            "born": self.born_ms,
-            "sequence": self.sequence,
-            "stage": "prefill_decode",
-            "models": [{"name": self.model, "version": 1, "adapters": []}]
-            if self.model
-            else [],
-            "staged": sorted(self.staged),
-            "group": group,
-        }
 
     def spend(self, fault: str) -> bool:
         """Uses up one occurrence of a fault."""
@@ -182,53 +120,6 @@
         self.faults[fault] -= 1
         return True
 
-    async def _on_report(self, request: web.Request) -> web.Response:
-        if self._other(request):
-            return self._refusal(421)
-        return web.json_response(
-            self.record(), headers={names.WORKER_ID: self.id}
-        )
-
-    async def _on_order(self, request: web.Request) -> web.Response:
-        if self._other(request):
-            return self._refusal(421)
-        order = await request.json()
-        status = self.obey(order)
-        self.orders.append((order, status))
-        return web.json_response(self.record(), status=status)
-
-    def run(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        """Runs something until the worker is closed."""
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    def load_time_ms(self, model: str, staged: bool) -> int:
-        """Returns the time of a load."""
-        return self.load_ms
-
-    def stage_time_ms(self, model: str) -> int:
-        """Returns the time to stage a model."""
-        return self.load_ms
-
-    async def finish_work(self) -> None:
-        """Waits until no request runs."""
-        while self._running:
-            await self.clock.sleep_ms(FINISH_STEP_MS)
-
-    def _other(self, request: web.Request) -> bool:
-        expected = request.headers.get(names.EXPECTED_WORKER, self.id)
-        return expected != self.id
-
-    def _refusal(self, status: int) -> web.Response:
-        self.refused += 1
-        headers = {names.NOT_EXECUTED: "true"}
-        if self.says_draining:
-            headers[names.LEAVING] = "1"
-        if self.rest_s and status == 503:
-            headers["Retry-After"] = self.rest_s
-        return web.json_response({}, status=status, headers=headers)
-
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         if self.spend("reset_before"):
             return self._reset(request)
@@ -238,13 +129,19 @@
             return self._refusal(421)
         if self.spend("refuse"):
             return self._refusal(503)
+        if self.grouped and (self.group is None or self.group.rank):
+            return self._refusal(421)
+        if self.grouped and not self._is_open():
+            return self._refusal(503)
         execution = Execution(
             request_id=request.headers.get(names.REQUEST_ID, ""),
             headers={k.lower(): v for k, v in request.headers.items()},
             path=request.raw_path,
             body=body,
             port=self._port(request),
+            began_ms=self.clock.now_ms(),
         )
+        self.log(f"{self.id} runs {execution.request_id}")
         self.executions.append(execution)
         self._running.append(request)
         complete = False
@@ -339,7 +236,8 @@
         return response
 
     async def _wait_gap(self, request: web.Request) -> None:
-        gap_ms = int(request.query.get("gap_ms", "0"))
+        await self._wait_for_link()
+        gap_ms = int(request.query.get("gap_ms", "0")) or self.work_ms
         if gap_ms:
             await self.clock.sleep_ms(gap_ms)
 
--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,6 +8,8 @@
 import group_case
 import standins
 
+from oleanderbay.standins import group_worker
+
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # With this, the worker loses the store first, and the rest some time after the
 # order to open.
@@ -25,26 +27,31 @@
 
     def __init__(self, record: standins.Record) -> None:
         super().__init__(record)
-        self.cut: standins.Worker | None = None
+        self.cut: group_worker.GroupWorker | None = None
+        self.is_cut_planned = False
 
-    def taken(self, worker: standins.Worker, order: dict[str, Any]) -> None:
+    def taken(
+        self, worker: group_worker.GroupWorker, order: dict[str, Any]
+    ) -> None:
         """Cuts the head off a little after it has accepted the order."""
         super().taken(worker, order)
         if order["operation"] != "open" or not TROUBLE:
             return
         if not SPREAD and self.cut is None:
             self.cut = worker
-        if worker is self.cut and not worker.opening:
+        if worker is self.cut and not self.is_cut_planned:
+            self.is_cut_planned = True
             asyncio.get_running_loop().call_later(
                 SPREAD_S if SPREAD else CUT_AFTER_S, worker.isolate
             )
 
-    def ready(self, worker: standins.Worker) -> None:
+    def ready(self, worker: group_worker.GroupWorker) -> None:
         """Cuts the first head that is ready off from the store."""
         is_head = worker.members[0] == worker.id
         if TROUBLE and SPREAD and self.cut is None and is_head:
             self.cut = worker
-            worker.cut_from_store = True
+            assert worker.registration is not None
+            worker.registration.reaches_store = False
             self.record.write(f"{worker.id} is cut off from the store")
 
     async def play(self) -> None:
--- a/review/group_case.py
+++ b/review/group_case.py
@@ -8,6 +8,8 @@
 import aiohttp
 import standins
 
+from oleanderbay.standins import group_member, group_worker
+
 LOAD_S = 12.0
 MODEL = {
     "name": "m",
@@ -54,6 +56,12 @@
 }
 
 
+def is_broken(head: group_worker.GroupWorker) -> bool:
+    """Whether the group of a head has stood still for too long."""
+    passed_ms = standins.now_ms() - head.isolated_ms
+    return head.isolated_ms >= 0 and passed_ms >= standins.STALL_MS
+
+
 class GroupCase:
     """A small deployment with one model, which watches its workers' orders.
 
@@ -71,7 +79,7 @@
         self.record = record
         self.store = standins.make_store()
         self.platform = standins.Platform(self.store, record, 3)
-        self.workers: dict[str, standins.Worker] = {}
+        self.workers: dict[str, group_worker.GroupWorker] = {}
         # Group and head of each worker after its last order.
         self.before: dict[str, tuple[str, str] | None] = {}
         self.broken_rules: list[str] = []
@@ -79,7 +87,9 @@
         self.sent = 0
         self.answered = 0
 
-    def taken(self, worker: standins.Worker, order: dict[str, Any]) -> None:
+    def taken(
+        self, worker: group_worker.GroupWorker, order: dict[str, Any]
+    ) -> None:
         """Checks an order that a worker has accepted."""
         before = self.before.get(worker.id)
         if order["operation"] == "join" and before is not None:
@@ -87,9 +97,9 @@
             head = self.workers[head_id]
             serving = (
                 head.group is not None
-                and head.group["name"] == name
-                and head.group["state"] == "open"
-                and not head.broken
+                and head.group.group == name
+                and head.group.state is group_member.STATE.OPEN
+                and not is_broken(head)
             )
             if name != order["group"] and serving:
                 self.broken_rules.append(
@@ -101,11 +111,11 @@
         if worker.group is None:
             self.before[worker.id] = None
         elif worker.members:
-            self.before[worker.id] = (worker.group["name"], worker.members[0])
+            self.before[worker.id] = (worker.group.group, worker.members[0])
         if order["operation"] == "open":
             self.opened.set()
 
-    def ready(self, worker: standins.Worker) -> None:
+    def ready(self, worker: group_worker.GroupWorker) -> None:
         """Called when a worker has become ready in a group."""
 
     async def play(self) -> None:
@@ -150,16 +160,19 @@
             await self.store.put("keyed.op", "config", value)
             await self.platform.start()
             for number in range(1, self.worker_count + 1):
-                worker = standins.Worker(
-                    f"w{number}", "chat", self.store, self.record
+                worker = group_worker.GroupWorker(
+                    f"w{number}",
+                    zone="za",
+                    # Loads take a tenth of the time before the first request.
+                    load_ms=round(LOAD_S * 100),
+                    form_ms=standins.FORM_MS,
                 )
-                worker.domain = "d1"
-                # Loads take a tenth of the time before the first request.
-                worker.models = {"m": LOAD_S / 10}
-                worker.on_order = self.taken
-                worker.on_ready = self.ready
+                worker.grouped = True
+                worker.work_ms = 30
+                worker.ordered = self.taken
+                worker.ready = self.ready
                 self.workers[worker.id] = worker
-                await worker.start()
+                await standins.start_worker(worker, self.store, self.record)
             async with asyncio.timeout(30):
                 await self.opened.wait()
             await self.play()
