Let workers of the planned stops write their entries

What was wrong: the fleet of the planned stops wrote the workers' entries itself, and a worker that crashes would have gone on writing its own.

Change: the fleet uses the workers' registration, and a worker that crashes or exits writes nothing more, so that its entry expires.

Evidence: tests/standins (one test added), tests/bench with its run of planned stops, the tests of pipelines, partitions, crash detection, store and orders pass.

The site of the gateways' tests still writes the entries itself.

--- a/bench/stop_fleet.py
+++ b/bench/stop_fleet.py
@@ -156,8 +156,8 @@
         await self.configure(1)
         for worker in self.workers:
             await worker.start()
+            worker.register(self.store, HEARTBEAT_MS)
             worker.ended = self._record_end
-        self._tasks.append(asyncio.create_task(self._publish()))
         for host in self.hosts:
             await self.start_gateway(host)
         for host in self.hosts:
@@ -271,14 +271,6 @@
             Execution(ended_ms=self.clock.now_ms(), complete=complete)
         )
 
-    async def _publish(self) -> None:
-        """Writes the workers' records until cancelled."""
-        while True:
-            for worker in self.workers:
-                body = json.dumps(worker.record()).encode()
-                await self.store.put(names.WORKERS_TOPIC, worker.id, body)
-            await self.clock.sleep_ms(HEARTBEAT_MS)
-
     async def _ask_directory(self) -> None:
         """Follows the directory until cancelled."""
         while True:
--- a/oleanderbay/standins/group_worker.py
+++ b/oleanderbay/standins/group_worker.py
@@ -161,7 +161,7 @@
     ) -> web.StreamResponse:
         if self.crashing_path and request.path == self.crashing_path:
             self.crashed = True
-            await self._server.crash()
+            await self.crash()
             raise asyncio.CancelledError
         if self.spend("reset_after"):
             return self._reset(request)
--- a/oleanderbay/standins/worker_listener.py
+++ b/oleanderbay/standins/worker_listener.py
@@ -119,9 +119,15 @@
             self.registration.reaches_store = False
         self.log(f"{self.id} is cut off; its state: {self.group}")
 
+    async def crash(self) -> None:
+        """Refuses connections, resets those that it has and writes nothing."""
+        if self.registration is not None:
+            self.registration.reaches_store = False
+        await self._server.crash()
+
     async def exit(self) -> None:
         """Ends at once, with the requests that run."""
-        await self._server.crash()
+        await self.crash()
         await self.close()
 
     @property
--- a/tests/standins/test_group_worker.py
+++ b/tests/standins/test_group_worker.py
@@ -112,6 +112,16 @@
         assert await status(worker, session) == 421
 
 
+async def test_a_worker_that_crashes_writes_nothing_more():
+    """A crash would be taken for a worker that has only lost connections."""
+    async with registered() as (worker, store, session):
+        worker.crashing_path = "/crash"
+        with pytest.raises(aiohttp.ClientError):
+            await status(worker, session, "/crash")
+        await parts.wait_until(lambda: not entry(store))
+        assert worker.crashed
+
+
 async def test_a_worker_that_exits_ends_its_requests():
     """They would be answered by a process that is gone."""
     async with registered() as (worker, _, session):
