--- a/bench/stop_fleet.py
+++ b/bench/stop_fleet.py
@@ -13,7 +13,7 @@
 from bench import processes, stop_callers
 from oleanderbay.platform import names
 from oleanderbay.process import clock as clocks
-from oleanderbay.standins import group_worker, metadata_store
+from oleanderbay.standins import group_worker, metadata_store, ports
 
 HEARTBEAT_MS = 1_200
 PARTITIONS = 24
@@ -136,8 +136,9 @@
             for number in range(options.gateways)
         ]
         self.processes = processes.Processes()
-        # Only this run uses the hosts, so what is free on one is on all.
-        self.ports = _free_ports(self.hosts[0])
+        listeners = ("callers", "readiness", "directory", "peers")
+        found = ports.free_ports(len(listeners), self.hosts)
+        self.ports = dict(zip(listeners, found, strict=True))
         self.starts = dict.fromkeys(self.hosts, 0)
         self.started: set[str] = set()
         self.stops: list[Stop] = []
@@ -155,8 +156,8 @@
         await self.configure(1)
         for worker in self.workers:
             await worker.start()
+            worker.register(self.store, HEARTBEAT_MS)
             worker.ended = self._record_end
-        self._tasks.append(asyncio.create_task(self._publish()))
         for host in self.hosts:
             await self.start_gateway(host)
         for host in self.hosts:
@@ -270,14 +271,6 @@
             Execution(ended_ms=self.clock.now_ms(), complete=complete)
         )
 
-    async def _publish(self) -> None:
-        """Writes the workers' records until cancelled."""
-        while True:
-            for worker in self.workers:
-                body = json.dumps(worker.record()).encode()
-                await self.store.put(names.WORKERS_TOPIC, worker.id, body)
-            await self.clock.sleep_ms(HEARTBEAT_MS)
-
     async def _ask_directory(self) -> None:
         """Follows the directory until cancelled."""
         while True:
@@ -301,11 +294,3 @@
                 return response.status == 200
         except (aiohttp.ClientError, TimeoutError):
             return False
-
-
-def _free_ports(host: str) -> dict[str, int]:
-    """Returns ports that are free on a host, by what they are for."""
-    return {
-        name: processes.free_port(host)
-        for name in ("callers", "readiness", "directory", "peers")
-    }
--- a/bench/upgrade_fleet.py
+++ b/bench/upgrade_fleet.py
@@ -4,10 +4,11 @@
 import json
 import os
 import pathlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from bench import stop_callers, stop_fleet, upgrade_builds
+from oleanderbay.gateway import workers
 from oleanderbay.platform import names
 from oleanderbay.process import clock as clocks
 from oleanderbay.standins import group_worker, settings_template
@@ -19,6 +20,7 @@
 DOMAINS = 2
 WORKERS_PER_DOMAIN = 4
 PLAIN_WORKERS = 10
+STATE = workers.MemberState
 # A worker serves for this time after its entry says that it leaves, and some
 # time longer for what it runs.
 DRAIN_MS = 2_000
@@ -80,6 +82,32 @@
     """A gateway can't be started; the message says why."""
 
 
+class JudgedWorker(group_worker.GroupWorker):
+    """A worker that tells of orders that break a rule.
+
+    Attributes:
+        joins: Called before the worker joins a group, with its name.
+        opens: Called before the worker begins to serve a group.
+    """
+
+    def __init__(
+        self, worker_id: str, service: str, zone: str, domain: str
+    ) -> None:
+        super().__init__(worker_id, service, zone, domain)
+        self.joins: Callable[[JudgedWorker, str], None] = lambda *_: None
+        self.opens: Callable[[JudgedWorker], None] = lambda _: None
+
+    def before_join(self, group: str) -> None:
+        """Tells of it."""
+        super().before_join(group)
+        self.joins(self, group)
+
+    def before_open(self) -> None:
+        """Tells of it."""
+        super().before_open()
+        self.opens(self)
+
+
 class UpgradeFleet(stop_fleet.Fleet):
     """A fleet whose gateways each run one of two versions.
 
@@ -106,13 +134,12 @@
         self.version = 0
         self._numbers: Iterator[int] = iter(range(10_000))
         self._left: list[group_worker.GroupWorker] = []
-        self.workers = [
-            self._make_worker(PLAIN_SERVICE, "") for _ in range(PLAIN_WORKERS)
-        ] + [
-            self._make_worker(GROUP_SERVICE, f"d{domain}")
-            for domain in range(DOMAINS)
-            for _ in range(WORKERS_PER_DOMAIN)
-        ]
+        self.workers = []
+        for _ in range(PLAIN_WORKERS):
+            self.workers.append(self._make_worker(PLAIN_SERVICE, ""))
+        for number in range(DOMAINS * WORKERS_PER_DOMAIN):
+            domain = f"d{number % DOMAINS}"
+            self.workers.append(self._make_worker(GROUP_SERVICE, domain))
 
     async def configure(self, version: int) -> None:
         """Writes a configuration; odd versions have one more route."""
@@ -182,17 +209,19 @@
         )
         added = self._make_worker(service, leaving.domain)
         await added.start()
+        added.register(self.store, stop_fleet.HEARTBEAT_MS)
         self.workers.append(added)
         leaving.draining = True
-        await self._write_entry(leaving)
+        assert leaving.registration is not None
+        await leaving.registration.write()
         self.drained_ms[leaving.id] = self.clock.now_ms()
         until_ms = self.clock.now_ms() + LEAVE_LIMIT_MS
         await self.clock.sleep_ms(DRAIN_MS)
-        while leaving.in_progress and self.clock.now_ms() < until_ms:
+        while leaving.running and self.clock.now_ms() < until_ms:
             await self.clock.sleep_ms(50)
         self.workers.remove(leaving)
         self._left.append(leaving)
-        await self.store.put(names.WORKERS_TOPIC, leaving.id, b"")
+        await leaving.registration.remove()
         await leaving.close()
 
     def all_workers(self) -> list[group_worker.GroupWorker]:
@@ -210,87 +239,68 @@
     def open_groups(self) -> list[str]:
         """Returns the names of the groups that serve."""
         return [
-            worker.group["name"]
+            worker.group.group
             for worker in self.workers
-            if worker.group is not None and worker.group["state"] == "open"
+            if worker.group is not None and serves(worker)
+        ]
+
+    def late_requests(self) -> list[str]:
+        """Returns which requests reached workers that had to get none."""
+        return [
+            f"DRAIN: {execution.request_id} reached {worker.id} {late_ms} ms"
+            " too late"
+            for worker in self.all_workers()
+            if worker.id in self.drained_ms
+            for execution in worker.executions
+            if (
+                late_ms := execution.began_ms
+                - self.drained_ms[worker.id]
+                - DRAIN_MS
+            )
+            > 0
         ]
 
-    def _make_worker(
-        self, service: str, domain: str
-    ) -> group_worker.GroupWorker:
+    def _make_worker(self, service: str, domain: str) -> JudgedWorker:
         number = next(self._numbers)
-        worker = group_worker.GroupWorker(
-            f"w{number}", service, f"z{number % 3}", domain
-        )
-        worker.began = lambda execution: self._note_begin(worker, execution)
+        worker = JudgedWorker(f"w{number}", service, f"z{number % 3}", domain)
         worker.ended = self._record_end
-        worker.obeyed = lambda *order: self._note_order(worker, *order)
+        worker.joins = self._check_join
+        worker.opens = self._check_members
         return worker
 
-    def _note_begin(
-        self,
-        worker: group_worker.GroupWorker,
-        execution: group_worker.Execution,
-    ) -> None:
-        drained_ms = self.drained_ms.get(worker.id)
-        if drained_ms is None:
+    def _check_join(self, worker: JudgedWorker, group: str) -> None:
+        known = worker.group
+        if known is None or known.group == group:
             return
-        late_ms = self.clock.now_ms() - drained_ms - DRAIN_MS
-        if late_ms > 0:
+        head = self._worker(worker.members[0])
+        if (
+            head is not None
+            and head.in_group(known.group, known.epoch)
+            and serves(head)
+        ):
             self.violations.append(
-                f"DRAIN: {execution.request_id} reached {worker.id}"
-                f" {late_ms} ms too late"
+                f"TWO: {worker.id} of {known.group}, which serves, joins"
+                f" {group}"
             )
 
-    def _note_order(
-        self,
-        worker: group_worker.GroupWorker,
-        order: dict[str, Any],
-        status: int,
-        group: dict[str, Any] | None,
-        members: tuple[str, ...],
-    ) -> None:
-        if status >= 400:
-            return
-        if order["operation"] == "join" and group is not None:
-            head = self._worker(members[0])
-            serving = group if head is worker else head and head.group
-            if (
-                order["group"] != group["name"]
-                and serving
-                and serving["name"] == group["name"]
-                and serving["epoch"] == group["epoch"]
-                and serving["state"] == "open"
-            ):
-                self.violations.append(
-                    f"TWO: {worker.id} of {group['name']}, which serves, joins"
-                    f" {order['group']}"
-                )
-        if order["operation"] == "open":
-            self._check_members(worker)
-
-    def _check_members(self, head: group_worker.GroupWorker) -> None:
+    def _check_members(self, head: JudgedWorker) -> None:
         assert head.group is not None
+        key = head.group.group, head.group.epoch
         for name in head.members:
             member = self._worker(name)
-            group = member.group if member else None
             if (
-                group is None
-                or group["name"] != head.group["name"]
-                or group["epoch"] != head.group["epoch"]
-                or group["state"] == "joining"
+                member is None
+                or member.group is None
+                or not member.in_group(*key)
+                or member.group.state is STATE.JOINING
             ):
                 self.violations.append(
-                    f"PARTIAL: {head.group['name']} opens without {name}"
+                    f"PARTIAL: {head.group.group} opens without {name}"
                 )
 
     def _worker(self, name: str) -> group_worker.GroupWorker | None:
         return next((w for w in self.workers if w.id == name), None)
 
-    async def _write_entry(self, worker: group_worker.GroupWorker) -> None:
-        body = json.dumps(worker.record()).encode()
-        await self.store.put(names.WORKERS_TOPIC, worker.id, body)
-
     def _values(self, host: str) -> dict[str, Any]:
         """Returns what the platform fills into the settings of a gateway."""
         number = self.hosts.index(host)
@@ -319,6 +329,11 @@
         return lines[-1] if lines else "no output"
 
 
+def serves(worker: group_worker.GroupWorker) -> bool:
+    """Whether a worker is the head of an open group."""
+    return worker.group is not None and worker.group.state is STATE.OPEN
+
+
 def available_mb() -> int:
     """Returns half of the machine's memory, which a trial may use."""
     pages = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
--- a/bench/upgrade_judge.py
+++ b/bench/upgrade_judge.py
@@ -94,10 +94,11 @@
         broken=[
             *(line for line in stops.broken if not line.endswith(" times")),
             *fleet.violations,
+            *fleet.late_requests(),
         ],
         worst_gap_ms=_worst_gaps(sent, started_ms, ended_ms),
         formed=sum(
-            order["operation"] == "open" and status == 200
+            order["operation"] == "open" and status < 300
             for worker in fleet.all_workers()
             for order, status in worker.orders
         ),
--- a/oleanderbay/standins/group_worker.py
+++ b/oleanderbay/standins/group_worker.py
@@ -13,13 +13,12 @@
 import socket
 import struct
 from collections.abc import Callable
-from typing import Any
 
 from aiohttp import web
 
 from oleanderbay.platform import names
 from oleanderbay.process import clock as clocks
-from oleanderbay.standins import server
+from oleanderbay.standins import worker_listener
 
 FAULTS = (
     "refuse",
@@ -52,6 +51,7 @@
         path: Path with query.
         body: The body.
         port: The caller's port, which stands for its connection.
+        began_ms: When it began to run.
     """
 
     request_id: str
@@ -59,17 +59,16 @@
     path: str
     body: bytes
     port: int = 0
+    began_ms: int = 0
 
 
-class GroupWorker:
+class GroupWorker(worker_listener.WorkerListener):
     """One worker with faults.
 
     Attributes:
-        address: `host:port` that it listens on.
         faults: Remaining number of requests that each fault happens to.
         executions: The requests that ran.
         abandoned: Requests whose connection ended before the answer did.
-        orders: Orders that were received, with the status given.
         events: Number of events in a stream.
         crashing_part: Id of a prompt's part; a request with it ends all
             requests of the worker once its answer begins. Empty for none.
@@ -78,18 +77,12 @@
         crashed: Whether it has ended in that way.
         rate_limit: Requests a second that it states as its limit; empty for
             none.
-        says_draining: Whether its responses state that it drains, which its
-            record need not.
-        rest_s: Retry-After of refusals; empty for none.
-        refused: Number of requests that were refused.
         at_fault: Member that the head names in a 503; empty for none.
         hold_after: Event after which streams wait for `released`.
-        changed: Called after each change of the record.
-        began: Called when a request begins to run.
+        work_ms: Time before each answer and each event.
+        grouped: Whether it serves only as the head of an open group.
         ended: Called at the end of each execution, with whether its answer
             is complete.
-        obeyed: Called after each order with the order, the status given and
-            the worker's group and members before it.
     """
 
     def __init__(
@@ -100,88 +93,25 @@
         domain: str = "d1",
         load_ms: int = 10,
         clock: clocks.Clock | None = None,
+        form_ms: int = 10,
     ) -> None:
-        self.id = worker_id
-        self.service = service
-        self.zone = zone
-        self.domain = domain
-        self.load_ms = load_ms
-        self.clock = clock or clocks.SystemClock()
-        self.born_ms = self.clock.wall_ms()
-        self.address = ""
-        self.draining = False
+        super().__init__(
+            worker_id, service, zone, domain, load_ms, clock, form_ms
+        )
         self.faults = dict.fromkeys((*FAULTS, *STREAM_FAULTS), 0)
         self.executions: list[Execution] = []
         self.abandoned = 0
-        self.orders: list[tuple[dict[str, Any], int]] = []
         self.events = 5
         self.crashing_part = ""
         self.crashing_path = ""
         self.crashed = False
         self.rate_limit = ""
-        self.says_draining = False
-        self.rest_s = ""
-        self.refused = 0
         self.at_fault = ""
         self.hold_after = -1
         self.released = asyncio.Event()
-        self.changed: Callable[[], None] = lambda: None
-        self.began: Callable[[Execution], None] = lambda *_: None
+        self.work_ms = 0
+        self.grouped = False
         self.ended: Callable[[Execution, bool], None] = lambda *_: None
-        self.obeyed: Callable[
-            [dict[str, Any], int, dict[str, Any] | None, tuple[str, ...]], None
-        ] = lambda *_: None
-        self.group: dict[str, Any] | None = None
-        self.members: tuple[str, ...] = ()
-        self.model = ""
-        self.staged: list[str] = []
-        self._fence = 0
-        self._epoch = 0
-        self._open: list[web.Request] = []
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._server = server.HttpServer(cancels=True)
-
-    async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
-        """Listens; port 0 picks a free one, see `address`."""
-        app = web.Application(client_max_size=1 << 30)
-        app.add_routes(
-            [
-                web.get(names.REPORT_PATH, self._on_report),
-                web.post(names.ORDER_PATH, self._on_order),
-                web.route("*", "/{path:.*}", self._serve),
-            ]
-        )
-        self.address = await self._server.start(app, host, port)
-
-    async def close(self) -> None:
-        """Stops listening and ends its loads."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._server.close()
-
-    @property
-    def in_progress(self) -> int:
-        """Number of requests that run."""
-        return len(self._open)
-
-    def record(self) -> dict[str, Any]:
-        """Returns what the worker writes to the store."""
-        return {
-            "service": self.service,
-            "address": self.address,
-            "zone": self.zone,
-            "version": "v1",
-            "domain": self.domain,
-            "state": "draining" if self.draining else "ready",
-            "slots": 4,
-            "cold_remaining_ms": 0,
-            "born": self.born_ms,
-            "sequence": len(self.orders),
-            "models": [{"name": self.model}] if self.model else [],
-            "staged": [{"name": name} for name in self.staged],
-            "group": self.group,
-        }
 
     def spend(self, fault: str) -> bool:
         """Uses up one occurrence of a fault."""
@@ -190,97 +120,6 @@
         self.faults[fault] -= 1
         return True
 
-    async def _on_report(self, request: web.Request) -> web.Response:
-        if self._other(request):
-            return self._refusal(421)
-        report = {
-            **self.record(),
-            "busy": False,
-            "queue_depth": 0,
-            "in_flight": len(self._open),
-            "pace": 1.0,
-        }
-        return web.json_response(report, headers={names.WORKER_ID: self.id})
-
-    async def _on_order(self, request: web.Request) -> web.Response:
-        if self._other(request):
-            return self._refusal(421)
-        order = await request.json()
-        group, members = self.group, self.members
-        status = self._obey(order)
-        self.orders.append((order, status))
-        self.obeyed(order, status, group, members)
-        self.changed()
-        return web.json_response(self.record(), status=status)
-
-    def _obey(self, order: dict[str, Any]) -> int:
-        if order["fence"] < self._fence:
-            return 412
-        self._fence = order["fence"]
-        operation = order["operation"]
-        if operation == "stage":
-            self.staged.append(order["model"])
-            return 202
-        epoch, group = order["epoch"], self.group
-        same = group is not None and (group["name"], group["epoch"]) == (
-            order["group"],
-            epoch,
-        )
-        if operation == "join":
-            return self._joined(order, same)
-        if not same:
-            return 200 if operation == "leave" else 409
-        assert group is not None
-        if operation == "leave":
-            self.group = None
-        elif group["rank"] != 0 or group["state"] == "joining":
-            return 409
-        elif operation == "open":
-            self.group = {**group, "state": "open"}
-        else:
-            self.group = {**group, "state": "ready"}
-        return 200
-
-    def _joined(self, order: dict[str, Any], same: bool) -> int:
-        members = tuple(order["members"])
-        if order["epoch"] < self._epoch or self.id not in members:
-            return 409
-        if same:
-            return 200 if members == self.members else 409
-        self._epoch, self.members = order["epoch"], members
-        self.group = {
-            "name": order["group"],
-            "epoch": order["epoch"],
-            "rank": members.index(self.id),
-            "state": "joining",
-        }
-        task = asyncio.get_running_loop().create_task(
-            self._load(order["model"], order["epoch"])
-        )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return 202
-
-    async def _load(self, model: str, epoch: int) -> None:
-        await self.clock.sleep_ms(self.load_ms)
-        if self.group is not None and self.group["epoch"] == epoch:
-            self.model = model
-            self.group = {**self.group, "state": "ready"}
-            self.changed()
-
-    def _other(self, request: web.Request) -> bool:
-        expected = request.headers.get(names.EXPECTED_WORKER, self.id)
-        return expected != self.id
-
-    def _refusal(self, status: int) -> web.Response:
-        self.refused += 1
-        headers = {names.NOT_EXECUTED: "true"}
-        if self.says_draining:
-            headers[names.LEAVING] = "1"
-        if self.rest_s and status == 503:
-            headers["Retry-After"] = self.rest_s
-        return web.json_response({}, status=status, headers=headers)
-
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         if self.spend("reset_before"):
             return self._reset(request)
@@ -290,16 +129,21 @@
             return self._refusal(421)
         if self.spend("refuse"):
             return self._refusal(503)
+        if self.grouped and (self.group is None or self.group.rank):
+            return self._refusal(421)
+        if self.grouped and not self._is_open():
+            return self._refusal(503)
         execution = Execution(
             request_id=request.headers.get(names.REQUEST_ID, ""),
             headers={k.lower(): v for k, v in request.headers.items()},
             path=request.raw_path,
             body=body,
             port=self._port(request),
+            began_ms=self.clock.now_ms(),
         )
+        self.log(f"{self.id} runs {execution.request_id}")
         self.executions.append(execution)
-        self.began(execution)
-        self._open.append(request)
+        self._running.append(request)
         complete = False
         try:
             response = await self._answer(request, body)
@@ -309,7 +153,7 @@
             self.abandoned += 1
             raise
         finally:
-            self._open.remove(request)
+            self._running.remove(request)
             self.ended(execution, complete)
 
     async def _answer(
@@ -317,7 +161,7 @@
     ) -> web.StreamResponse:
         if self.crashing_path and request.path == self.crashing_path:
             self.crashed = True
-            await self._server.crash()
+            await self.crash()
             raise asyncio.CancelledError
         if self.spend("reset_after"):
             return self._reset(request)
@@ -370,7 +214,7 @@
         if self.crashing_part and f"{self.crashing_part}:" in prompt:
             # Lets the head reach the reader before the reset drops it.
             await self.clock.sleep_ms(20)
-            for other in tuple(self._open):
+            for other in tuple(self._running):
                 self._reset(other)
             return self._reset(request)
         first = int(request.headers.get(names.LAST_EVENT_ID, "-1")) + 1
@@ -392,7 +236,8 @@
         return response
 
     async def _wait_gap(self, request: web.Request) -> None:
-        gap_ms = int(request.query.get("gap_ms", "0"))
+        await self._wait_for_link()
+        gap_ms = int(request.query.get("gap_ms", "0")) or self.work_ms
         if gap_ms:
             await self.clock.sleep_ms(gap_ms)
 
--- a/tests/bench/test_upgrade_trial.py
+++ b/tests/bench/test_upgrade_trial.py
@@ -1,7 +1,6 @@
 """Tests of the trial of upgrades, and a short run of it."""
 
 import pathlib
-import types
 
 import pytest
 
@@ -13,11 +12,15 @@
     upgrade_judge,
     upgrade_trial,
 )
+from oleanderbay.gateway import workers
 from oleanderbay.process import clock as clocks
+from oleanderbay.standins import group_worker
+from tests.gateway import parts
 
 # Earlier versions, the preferred one first; a clone may lack it. Those before
 # dc434f9 lose requests in planned stops.
 COMMITS = ("dc434f9", "HEAD")
+STATE = workers.MemberState
 KIND = stop_callers.KINDS[0]
 
 
@@ -36,36 +39,34 @@
 
 
 def join(worker, group, epoch, members):
-    return order(
-        worker,
-        operation="join",
-        group=group,
-        epoch=epoch,
-        members=[member.id for member in members],
-        model="small",
+    return worker.obey(
+        {
+            "fence": 1,
+            "operation": "join",
+            "group": group,
+            "epoch": epoch,
+            "members": [member.id for member in members],
+            "model": "small",
+        }
     )
 
 
-def order(worker, **fields):
-    before, members = worker.group, worker.members
-    body = {"fence": 1, **fields}
-    status = worker._obey(body)
-    worker.orders.append((body, status))
-    worker.obeyed(body, status, before, members)
-
-
-def open_group(fleet, workers):
-    for worker in workers:
-        join(worker, "g1", 1, workers)
-        worker.group = {**worker.group, "state": "ready"}
-    order(workers[0], operation="open", group="g1", epoch=1)
-    return workers
+async def open_group(fleet, members):
+    for worker in members:
+        worker.load_ms = 0
+        join(worker, "g1", 1, members)
+    await parts.wait_until(
+        lambda: all(w.group.state is STATE.READY for w in members)
+    )
+    order = {"fence": 1, "operation": "open", "group": "g1", "epoch": 1}
+    members[0].obey(order)
+    await parts.wait_until(lambda: upgrade_fleet.serves(members[0]))
 
 
 # A trial that overlooks the rules it is made for shows nothing.
 async def test_a_join_from_a_group_that_serves_is_a_violation(fleet):
     first, second, third = fleet.workers[-3:]
-    open_group(fleet, [first, second])
+    await open_group(fleet, [first, second])
     assert fleet.violations == []
     join(second, "g2", 2, [second, third])
     assert [line.split(":")[0] for line in fleet.violations] == ["TWO"]
@@ -73,30 +74,38 @@
 
 async def test_a_join_after_the_group_has_closed_is_allowed(fleet):
     first, second, third = fleet.workers[-3:]
-    open_group(fleet, [first, second])
-    order(first, operation="close", group="g1", epoch=1)
+    await open_group(fleet, [first, second])
+    first.set_state(STATE.READY)
     join(second, "g2", 2, [second, third])
     assert fleet.violations == []
 
 
 async def test_a_group_that_opens_without_a_member_is_a_violation(fleet):
     first, second = fleet.workers[-2:]
+    first.load_ms, second.load_ms = 0, 10_000
     for worker in (first, second):
         join(worker, "g1", 1, [first, second])
-    first.group = {**first.group, "state": "ready"}
-    order(first, operation="open", group="g1", epoch=1)
+    await parts.wait_until(lambda: first.group.state is STATE.READY)
+    first.obey({"fence": 1, "operation": "open", "group": "g1", "epoch": 1})
+    await parts.wait_until(lambda: upgrade_fleet.serves(first))
     assert [line.split(":")[0] for line in fleet.violations] == ["PARTIAL"]
+    await second.close()
 
 
 async def test_a_request_that_reaches_a_drained_worker_is_a_violation(fleet):
     worker = fleet.workers[0]
-    request = types.SimpleNamespace(request_id="q")
-    fleet.drained_ms[worker.id] = fleet.clock.now_ms()
-    worker.began(request)
-    assert fleet.violations == []
-    fleet.drained_ms[worker.id] -= upgrade_fleet.DRAIN_MS + 100
-    worker.began(request)
-    assert [line.split(":")[0] for line in fleet.violations] == ["DRAIN"]
+    fleet.drained_ms[worker.id] = 1_000
+    worker.executions = [
+        group_worker.Execution(
+            request_id="q", headers={}, path="/", body=b"", began_ms=began_ms
+        )
+        for began_ms in (
+            900,
+            1_000 + upgrade_fleet.DRAIN_MS,
+            1_001 + upgrade_fleet.DRAIN_MS,
+        )
+    ]
+    assert [line.split(":")[0] for line in fleet.late_requests()] == ["DRAIN"]
 
 
 def request(name, ended_ms, **fields):
--- a/tests/gateway/test_group_interleavings.py
+++ b/tests/gateway/test_group_interleavings.py
@@ -33,9 +33,9 @@
         head = next(w for w in rig.workers.values() if w.serves())
         group = head.group
         key = (group.group, group.epoch)
-        head.obey("close", head.fence, *key)
+        head.obey("close", head.fence, group=key[0], epoch=key[1])
         await rig.clock.advance(500)
-        head._set_state(workers.MemberState.OPEN)
+        head.set_state(workers.MemberState.OPEN)
         # The order to close arrives while reports are from before it opened.
         dissolution = gateway.controller.dissolution
         dissolution.start(gateway.state.groups()[key], graceful=True)
