--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -381,8 +381,10 @@
     """Datagrams to such a host closed the socket, or no others were read."""
     gateway = test_datagrams.make_gateway()
     before = dict(gateway.peers.addresses)
-    gateway._add_address(interfaces.KeyedRecord(1, "g7", value))
-    gateway._add_address(
-        interfaces.KeyedRecord(2, "g8", b'{"host": "127.0.0.8"}')
+    gateway._apply_addresses(
+        [
+            interfaces.KeyedRecord(1, "g7", value),
+            interfaces.KeyedRecord(2, "g8", b'{"host": "127.0.0.8"}'),
+        ]
     )
     assert gateway.peers.addresses == {**before, "127.0.0.8": "g8"}
