Wait in tests for groups of workers that run, while callers ask

Cause, from the logs: (1) the test sent its next crashing request while the status still listed groups whose heads had crashed, so that all three groups crashed at once and the next sound request found none. (2) The test waited for new groups without sending anything. The demand was 0 then, and for no demand no group that has to load is formed.

Change: the site waits for groups whose members all run, and sends requests meanwhile, as callers do. What the test asserts is unchanged.

--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -1,6 +1,7 @@
 """Gateways with a store and six workers on loopback ports."""
 
 import asyncio
+import contextlib
 import json
 
 import aiohttp
@@ -90,10 +91,19 @@
         await self.wait_for_groups()
 
     async def wait_for_groups(self):
+        """Waits until all gateways know two groups of workers that run."""
+
+        def ready(gateway):
+            running = {worker.id for worker in self.workers}
+            serving = [
+                group
+                for group in self.open_groups(gateway)
+                if running.issuperset(group["members"])
+            ]
+            return len(serving) >= 2 and gateway.peers.live
+
         for gateway in self.gateways:
-            await parts.wait_until(
-                lambda g=gateway: len(self.open_groups(g)) >= 2 and g.peers.live
-            )
+            await parts.wait_until(lambda g=gateway: ready(g))
 
     async def _start_gateway(self, stack, name, host):
         # Gateways that start later have yet to listen on the peers' port.
@@ -161,7 +171,19 @@
             await started.start()
             self.stack.push_async_callback(started.close)
             self.workers[index] = started
-        await self.wait_for_groups()
+        # Groups form again for the callers that still ask.
+        callers = asyncio.create_task(self._keep_calling())
+        try:
+            await self.wait_for_groups()
+        finally:
+            callers.cancel()
+
+    async def _keep_calling(self):
+        while True:
+            for gateway in self.gateways:
+                with contextlib.suppress(aiohttp.ClientError):
+                    await self.call(gateway, "/stream/a")
+            await asyncio.sleep(0.05)
 
     async def configure(self, version):
         await self.store.put(
