Log why a response that has begun is cut off

Neither a refusal after the beginning of a response nor an internal fault left a line that names it: only attempts were logged, so that a loss after a failed attempt could not be told from one that a stop, or a caller that left, had caused. aiohttp's error handler raises before it logs if the head is written.

Evidence: both tests fail without the lines (no event is captured).

--- a/oleanderbay/gateway/listener.py
+++ b/oleanderbay/gateway/listener.py
@@ -284,6 +284,8 @@
             raise
         except Exception:
             if caller_response.started:
+                # aiohttp's error handler can no longer answer, and is silent.
+                log.exception("response cut off by an internal fault")
                 caller_response.abort()
             raise
         finally:
@@ -333,10 +335,24 @@
                 "refused", reason=refusal.reason.value, id=caller_request.id
             )
         if caller_response.started:
+            self._log_cut_off(caller_request, refusal)
             caller_response.abort()
         else:
             await self._send_refusal(caller_response, refusal)
 
+    def _log_cut_off(
+        self, caller_request: interfaces.CallerRequest, refusal: outcome.Refusal
+    ) -> None:
+        now_ms = self.clock.now_ms()
+        log.warning(
+            "response cut off",
+            id=caller_request.id,
+            reason=refusal.reason.value,
+            error=refusal.message,
+            took_ms=now_ms - caller_request.arrived_ms,
+            stop_after_ms=self.pipeline.stop_limit.since_start_ms(now_ms),
+        )
+
     async def _send_refusal(
         self, caller_response: CallerResponse, refusal: outcome.Refusal
     ) -> None:
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -252,6 +252,43 @@
             writer.close()
 
 
+# Incident of 2026-12-06: a response that a gateway gave up after its beginning
+# left no line, so that logs could not tell what had been lost, and why.
+async def test_a_response_that_is_cut_off_is_logged_with_its_cause():
+    async with listener_harness.running_listener(
+        kind=table.RouteKind.STREAM
+    ) as harness:
+        harness.pipeline_harness.workers[0].faults["reset_in_event"] = 1
+        stream = listener_harness.GET.replace(b"/a", b"/stream")
+        with testing.capture_logs() as logs:
+            received = await harness.exchange(stream)
+        assert b"id: 1" in received and not received.endswith(b"0\r\n\r\n")
+        cut_off = next(
+            line for line in logs if line["event"].startswith("resp")
+        )
+        assert cut_off["event"] == "response cut off"
+        assert cut_off["id"] == "r1" and cut_off["stop_after_ms"] is None
+        assert cut_off["reason"] == outcome.Reason.UPSTREAM_FAILED.value
+        assert cut_off["error"]
+
+
+async def test_a_fault_after_the_beginning_of_a_response_is_logged():
+    """aiohttp's error handler can't answer then, and logs nothing."""
+
+    async def run(caller_request, caller_response):
+        await caller_response.begin(200, multidict.CIMultiDict())
+        raise ValueError("fault")
+
+    async with listener_harness.running_listener() as harness:
+        harness.pipeline_harness.pipeline.run = run
+        with testing.capture_logs() as logs:
+            await harness.exchange(listener_harness.GET)
+        harness.errors.clear()
+        assert [line["event"] for line in logs] == [
+            "response cut off by an internal fault"
+        ]
+
+
 async def test_a_short_request_late_in_a_stop_is_served():
     """Guards against refusals of requests for which there is enough time."""
     async with listener_harness.running_listener(timeout_ms=500) as harness:
