Show that a stream is lost when a silent worker is given up

A caller gets two of five events and a closed connection although its worker is sound, once that worker is silent for 0.8 s and the one chosen in its place refuses, is full, resets the connection, is away or stalls as well: 5 of 5 cases fail. The worker would have completed the stream in time.

Not shown by this: that the users saw this case.

--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -234,6 +234,51 @@
             assert caller.complete and caller.body == events(0, 5)
 
 
+def pausing_stream(pause_s):
+    """Returns a step that writes two events, and the others after a pause."""
+
+    async def step(request, writer):
+        writer.write(request.fill_in(stream(0, 2, framing="open")))
+        await writer.drain()
+        await asyncio.sleep(pause_s)
+        rest = events(2, 5)
+        return b"%x\r\n%b\r\n0\r\n\r\n" % (len(rest), rest)
+
+    return step
+
+
+# Incident of 2026-12-06: the answer of a sound worker that was silent for a
+# moment was ended, and the stream was lost if no other worker took it over.
+@pytest.mark.xfail(
+    strict=True,
+    raises=AssertionError,
+    reason="KNOWN-RED: the silent answer is ended before another one begins",
+)
+@pytest.mark.parametrize(
+    "second", ["refuses", "is full", "resets", "is away", "stalls"]
+)
+async def test_a_silent_worker_completes_a_stream_that_no_other_resumes(second):
+    answers = {
+        "refuses": refusal(421),
+        "is full": refusal(503),
+        "resets": b"",
+        "is away": b"",
+        "stalls": dribble(stream(2, 2, framing="open"), b"x"),
+    }
+    async with running_pipeline(
+        (pausing_stream(0.8),),
+        (answers[second],) * 5,
+        max_attempts=2,
+        timeout_ms=5_000,
+        **STREAMING,
+    ) as harness:
+        if second == "is away":
+            await harness.workers[1].close()
+        caller = await harness.call("/stream")
+        assert caller.heads == 1 and caller.body == events(0, 5)
+        assert caller.complete
+
+
 class SlowCaller(test_pipeline.Caller):
     """A caller that takes long to read each part of a response."""
 
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -273,7 +273,7 @@
 
 
 async def test_a_fault_after_the_beginning_of_a_response_is_logged():
-    """aiohttp's error handler can't answer then, and logs nothing."""
+    """The error handler of aiohttp can't answer then, and logs nothing."""
 
     async def run(caller_request, caller_response):
         await caller_response.begin(200, multidict.CIMultiDict())
