--- a/bench/planned_stops.py
+++ b/bench/planned_stops.py
@@ -21,7 +21,7 @@
     """Makes one run; returns what it has shown and the gateways' logs."""
     clock = clocks.SystemClock()
     fleet = stop_fleet.Fleet(options, clock)
-    async with _busy_processes(options.busy):
+    async with busy_processes(options.busy):
         try:
             await fleet.start()
             callers = stop_callers.Callers(
@@ -82,7 +82,8 @@
 
 
 @contextlib.asynccontextmanager
-async def _busy_processes(count: int) -> AsyncIterator[None]:
+async def busy_processes(count: int) -> AsyncIterator[None]:
+    """Runs processes that only use processor time."""
     busy = [
         await asyncio.create_subprocess_exec(
             sys.executable, "-c", "while True: pass"
--- a/bench/stop_callers.py
+++ b/bench/stop_callers.py
@@ -30,6 +30,7 @@
         deadline_ms: Time for which the caller waits.
         body: Body that is sent.
         headers: Further headers.
+        repeatable: Whether it may run more than once.
     """
 
     name: str
@@ -37,6 +38,7 @@
     deadline_ms: int
     body: bytes = b"prompt"
     headers: tuple[tuple[str, str], ...] = ()
+    repeatable: bool = False
 
 
 def _stream(events: int, gap_ms: int, deadline_ms: int) -> Kind:
--- a/bench/upgrade_fleet.py
+++ b/bench/upgrade_fleet.py
@@ -117,8 +117,11 @@
         versions: Name of the version of each start, by host and number.
         violations: Rules that workers saw broken, one line each.
         drained_ms: When a worker's entry said that it leaves, by its id.
+        worker_class: Kind of the workers.
     """
 
+    worker_class: type[JudgedWorker] = JudgedWorker
+
     def __init__(
         self,
         options: stop_fleet.Options,
@@ -262,7 +265,9 @@
 
     def _make_worker(self, service: str, domain: str) -> JudgedWorker:
         number = next(self._numbers)
-        worker = JudgedWorker(f"w{number}", service, f"z{number % 3}", domain)
+        worker = self.worker_class(
+            f"w{number}", service, f"z{number % 3}", domain
+        )
         worker.ended = self._record_end
         worker.joins = self._check_join
         worker.opens = self._check_members
