Correct the check of dropped keys in the state machine of feeds

The check is wrong, not the feed: the store dropped a foreign entry of a key that nobody had written yet, and the check took the follower's record of this drop for the departure of version 2, which came later. The check now records which departure a drop of the store stands for, as it does for the writers' own ones, and is as strict as before for each of them.

--- a/tests/gateway/test_feed_machine.py
+++ b/tests/gateway/test_feed_machine.py
@@ -102,6 +102,10 @@
             value = self.written.get(key)
             if value is not None or held.get(key) is not None:
                 self.log.append((key, value))
+                if value is None:
+                    # The writer left before, if there was one.
+                    position = self.position(len(self.log) - 1)
+                    self.drops[key, position] = self.dropped.get(key, -1)
 
     @stateful.rule()
     def read(self):
