Test how kept answers of silent workers end

An answer that is kept must end when another worker takes its stream over and when the caller leaves, count as load until then, and cause no more attempts than the route allows. Three tests for these, and a case of a second worker that never sends a head.

--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -234,6 +234,10 @@
             assert caller.complete and caller.body == events(0, 5)
 
 
+async def never_answer(request, writer):
+    await asyncio.sleep(60)
+
+
 def pausing_stream(pause_s):
     """Returns a step that writes two events, and the others after a pause."""
 
@@ -250,7 +254,7 @@
 # Incident of 2026-12-06: the answer of a sound worker that was silent for a
 # moment was ended, and the stream was lost if no other worker took it over.
 @pytest.mark.parametrize(
-    "second", ["refuses", "is full", "resets", "is away", "stalls"]
+    "second", ["refuses", "is full", "resets", "is away", "stalls", "is silent"]
 )
 async def test_a_silent_worker_completes_a_stream_that_no_other_resumes(second):
     answers = {
@@ -259,6 +263,7 @@
         "resets": b"",
         "is away": b"",
         "stalls": dribble(stream(2, 2, framing="open"), b"x"),
+        "is silent": never_answer,
     }
     async with running_pipeline(
         (pausing_stream(0.8),),
@@ -272,6 +277,62 @@
         caller = await harness.call("/stream")
         assert caller.heads == 1 and caller.body == events(0, 5)
         assert caller.complete
+        assert not harness.gateway.loads.own_counts
+
+
+async def test_a_worker_that_takes_a_stream_over_ends_the_silent_answer():
+    """Both workers would run the request to its end, and count as loaded."""
+    stalled = dribble(stream(0, 2, framing="open"), b": alive\n\n")
+    async with running_pipeline(
+        (stalled,), (stream(2, 5),), **STREAMING
+    ) as harness:
+        caller = await harness.call("/stream")
+        assert caller.complete
+        assert caller.body.replace(b": alive\n\n", b"") == events(0, 5)
+        silent = harness.workers[0].writers[0].transport
+        await parts.wait_until(silent.is_closing)
+        assert not harness.gateway.loads.own_counts
+
+
+async def test_a_caller_that_leaves_ends_both_answers():
+    """A worker would go on with a request that nobody waits for."""
+    async with running_pipeline(
+        (dribble(stream(0, 2, framing="open"), b": alive\n\n"),),
+        (dribble(stream(2, 2, framing="open"), b": alive\n\n"),),
+        **STREAMING,
+    ) as harness:
+        call = asyncio.create_task(harness.call("/stream"))
+        await parts.wait_until(lambda: harness.workers[1].received)
+        assert sorted(harness.gateway.loads.own_counts) == ["w0", "w1"]
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+        assert not harness.gateway.loads.own_counts
+        for worker in harness.workers:
+            await parts.wait_until(worker.writers[0].transport.is_closing)
+
+
+async def test_a_silent_worker_that_ends_meanwhile_leaves_one_failure():
+    """A request runs at no more workers than its route allows."""
+
+    async def end(request, writer):
+        writer.write(request.fill_in(stream(0, 2, framing="open")))
+        await asyncio.sleep(0.6)
+        return b""
+
+    async with running_pipeline(
+        (end,),
+        (never_answer,),
+        (stream(2, 5),),
+        max_attempts=2,
+        timeout_ms=3_000,
+        **STREAMING,
+    ) as harness:
+        caller = await harness.call("/stream")
+        assert not caller.complete and caller.body == events(0, 2)
+        assert caller.refusal.status == 504
+        ran = [bool(worker.received) for worker in harness.workers]
+        assert sum(ran) == 2
+        assert not harness.gateway.loads.own_counts
 
 
 class SlowCaller(test_pipeline.Caller):
