Read what has arrived before a worker counts as silent

A process that was busy for longer than the limit of a pause finds its timers due before its tasks have read what arrived meanwhile. It took each of its workers for silent, told its peers so, and sent the requests to other workers once more although their answers were there: a head that had arrived was thrown away, and a stream was resumed elsewhere.

Change: the limit for a head ends the wait, and a silent worker is suspected, two turns of the event loop after the timer, in which what arrived is read; a read of a stream that has run out of time looks once more for data.

Why it works: the event loop reads sockets in the turn in which it runs the timers, and wakes the reading task in the next one.

Limits are as long as before for a process that is not delayed.

--- a/oleanderbay/gateway/pauses.py
+++ b/oleanderbay/gateway/pauses.py
@@ -1,4 +1,8 @@
-"""Detection of pauses of this process."""
+"""Detection of pauses and delays of this process."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
 
 from oleanderbay.process import clock as clocks
 
@@ -9,6 +13,45 @@
 # and messages that have arrived meanwhile are applied within this time, and the
 # reads that are due are made.
 SETTLE_MS = 50
+# Turns of the event loop in which a task sees what had arrived when a timer
+# fired: one reads it, one wakes the task.
+SETTLE_TURNS = 2
+
+
+def call_settled(call: Callable[[], None], turns: int = SETTLE_TURNS) -> None:
+    """Calls a function once what has arrived by now is processed.
+
+    If this process was delayed, timers fire before it sees what has arrived.
+    """
+    loop = asyncio.get_running_loop()
+    if turns:
+        loop.call_soon(call_settled, call, turns - 1)
+    else:
+        call()
+
+
+@contextlib.asynccontextmanager
+async def settled_timeout(limit_ms: int) -> AsyncIterator[None]:
+    """Limits a wait, after which what has arrived by then is still seen.
+
+    Raises:
+        TimeoutError: The time is over.
+    """
+    loop = asyncio.get_running_loop()
+    limit = asyncio.timeout(None)
+    ended = False
+
+    def expire() -> None:
+        if not ended:
+            limit.reschedule(loop.time())
+
+    timer = loop.call_later(limit_ms / 1000, call_settled, expire)
+    try:
+        async with limit:
+            yield
+    finally:
+        ended = True
+        timer.cancel()
 
 
 class PauseDetector:
--- a/oleanderbay/gateway/stalls.py
+++ b/oleanderbay/gateway/stalls.py
@@ -2,7 +2,13 @@
 
 import asyncio
 
-from oleanderbay.gateway import budget, health, request_state, selection
+from oleanderbay.gateway import (
+    budget,
+    health,
+    pauses,
+    request_state,
+    selection,
+)
 from oleanderbay.process import clock as clocks
 
 # A request fails over only to a worker whose load is below this part of its
@@ -86,7 +92,9 @@
             if self.clock.now_ms() - last_activity_ms >= silent_ms - 1:
                 self.worker_health.suspect(worker_id)
 
-        return asyncio.get_running_loop().call_later(silent_ms / 1000, suspect)
+        return asyncio.get_running_loop().call_later(
+            silent_ms / 1000, pauses.call_settled, suspect
+        )
 
     def can_fail_over(self, request: request_state.RequestState) -> bool:
         """Whether another worker could take over the request now."""
--- a/oleanderbay/gateway/worker_client.py
+++ b/oleanderbay/gateway/worker_client.py
@@ -15,6 +15,7 @@
     connection_pool,
     dialing,
     interfaces,
+    pauses,
     recent_ids,
     settings,
     worker_connection,
@@ -197,7 +198,11 @@
             async with asyncio.timeout(limit_ms / 1000):
                 data = await self.response.content.readany()
         except TimeoutError:
-            return None
+            # If this process was delayed, the timer fires before the task sees
+            # what has arrived.
+            data = self.read_arrived()
+            if not data and not self.ended:
+                return None
         except (aiohttp.ClientError, OSError) as error:
             raise self._broken_off(error) from error
         if not data and self.tunnelled and not self.framed:
@@ -389,7 +394,7 @@
         options: dict[str, Any] = {}
         if caller_request.body is not None:
             options["data"] = caller_request.body
-        async with asyncio.timeout(limit_ms / 1000):
+        async with pauses.settled_timeout(limit_ms):
             response = await self._session.request(
                 caller_request.method,
                 aiohttp_internals.exact_url(
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import socket
+import time
 
 import pytest
 
@@ -335,6 +336,30 @@
         assert not harness.gateway.loads.own_counts
 
 
+# A process that was busy for a moment found its timers due before it read what
+# had arrived, took its workers for silent and sent their requests once more.
+@pytest.mark.parametrize("before", [0, 2])
+async def test_the_delay_of_a_busy_process_is_no_silence_of_a_worker(before):
+    async def step(request, writer):
+        if before:
+            writer.write(request.fill_in(stream(0, before, framing="open")))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            rest = events(before, 5)
+            writer.write(b"%x\r\n%b\r\n0\r\n\r\n" % (len(rest), rest))
+        else:
+            writer.write(request.fill_in(stream(0, 5)))
+        time.sleep(0.7)  # noqa: ASYNC251
+
+    async with running_pipeline(
+        (step,), (stream(before, 5),), latency_target_ms=200, **STREAMING
+    ) as harness:
+        caller = await harness.call("/stream")
+        assert caller.complete and caller.body == events(0, 5)
+        assert not harness.workers[1].received
+        assert not harness.gateway.worker_health.suspected_workers()
+
+
 class SlowCaller(test_pipeline.Caller):
     """A caller that takes long to read each part of a response."""
 
