--- a/oleanderbay/gateway/entry.py
+++ b/oleanderbay/gateway/entry.py
@@ -448,6 +448,7 @@
         )
         await self.listeners.close(CLOSE_LIMIT_MS)
         await self.stop()
+        log.info("gateway stopped", after_ms=self.clock.now_ms() - started_ms)
 
     def _receiving_workers(self) -> list[workers.Worker]:
         return [
