--- a/bench/version_stops.py
+++ b/bench/version_stops.py
@@ -19,8 +19,8 @@
 import sys
 import tempfile
 
-from bench import planned_stops as stops_module
 from bench import (
+    planned_stops,
     stop_callers,
     stop_fleet,
     stop_judge,
@@ -68,6 +68,10 @@
     logs: pathlib.Path | None = None
 
 
+class UsageError(Exception):
+    """The options ask for what can't be done; the message says why."""
+
+
 class Judge(stop_judge.Judge):
     """Judges requests of which some may run more than once."""
 
@@ -97,7 +101,7 @@
         clock,
         build,
     )
-    async with stops_module.busy_processes(options.busy):
+    async with planned_stops.busy_processes(options.busy):
         try:
             await fleet.start()
             callers = stop_callers.Callers(
@@ -228,7 +232,22 @@
     return broken
 
 
-def main() -> int:
+def check_options(options: Options, seeds: int) -> None:
+    """Checks the options.
+
+    Raises:
+        UsageError: They ask for what can't be done.
+    """
+    numbers = dataclasses.asdict(options) | {"seeds": seeds}
+    for name in ("gateways", "callers", "together", "seeds"):
+        if numbers[name] < 1:
+            raise UsageError(f"--{name} must be at least 1")
+    for name in ("stops", "silence_ms", "busy"):
+        if numbers[name] < 0:
+            raise UsageError(f"--{name.replace('_', '-')} must not be negative")
+
+
+def main(arguments: list[str] | None = None) -> int:
     """Runs the command line."""
     parser = argparse.ArgumentParser(
         prog="python -m bench.version_stops",
@@ -250,11 +269,17 @@
     parser.add_argument(
         "--seeds", type=int, default=1, help="number of runs, from --seed on"
     )
-    args = vars(parser.parse_args())
+    args = vars(parser.parse_args(arguments))
     seeds = args.pop("seeds")
+    options = Options(**args)
     try:
-        broken = asyncio.run(_run_all(Options(**args), seeds))
-    except (upgrade_builds.BuildError, upgrade_fleet.StartError) as error:
+        check_options(options, seeds)
+        broken = asyncio.run(_run_all(options, seeds))
+    except (
+        UsageError,
+        upgrade_builds.BuildError,
+        upgrade_fleet.StartError,
+    ) as error:
         print(f"version stops: {error}", file=sys.stderr)
         return 2
     return 1 if broken else 0
