Show that a late beginning is given up before it is replaced

A request that may be repeated is sent to another worker if its own one has not begun after 1.5 times the target, and the first attempt ends before the second one is certain. If that is refused, the caller gets 502 although the first worker would have answered. The caller has an answer, so this is not LOST.

--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -281,6 +281,25 @@
         assert not harness.gateway.loads.own_counts
 
 
+# A request whose worker takes long to begin is given up in the same way: the
+# caller gets a failure although the worker would have answered in time.
+@pytest.mark.xfail(
+    strict=True,
+    raises=AssertionError,
+    reason="KNOWN-RED: a request without a head is ended before it is replaced",
+)
+async def test_a_worker_that_begins_late_answers_if_no_other_does():
+    async def late(request, writer):
+        await asyncio.sleep(0.8)
+        return answer(b"late")
+
+    async with running_pipeline(
+        (late,), (refusal(503),) * 5, max_attempts=2, latency_target_ms=200
+    ) as harness:
+        caller = await harness.call("/whole")
+        assert caller.body == b"late" and caller.complete
+
+
 async def test_a_worker_that_takes_a_stream_over_ends_the_silent_answer():
     """Both workers would run the request to its end, and count as loaded."""
     stalled = dribble(stream(0, 2, framing="open"), b": alive\n\n")
