Use one set of callers and changes in all rigs of stops

Three rigs created their callers from the same eight values, and two had the same loop of configurations and SIGHUP. Both are methods of the fleet now; draws of planned stops and of stops of any version are as before.

--- a/bench/planned_stops.py
+++ b/bench/planned_stops.py
@@ -9,11 +9,10 @@
 import contextlib
 import dataclasses
 import json
-import signal
 import sys
 from collections.abc import AsyncIterator
 
-from bench import stop_callers, stop_fleet, stop_judge
+from bench import stop_fleet, stop_judge
 from oleanderbay.process import clock as clocks
 
 
@@ -24,19 +23,16 @@
     async with busy_processes(options.busy):
         try:
             await fleet.start()
-            callers = stop_callers.Callers(
-                options.callers,
-                options.slow_share,
-                options.kinds,
-                fleet.ports["callers"],
-                lambda: fleet.ready,
-                lambda host: fleet.starts[host],
-                options.seed,
-                clock,
+            callers = fleet.callers(
+                options.callers, options.slow_share, options.kinds
             )
             callers.start()
             await clock.sleep_ms(1_500)
-            changes = asyncio.create_task(_make_changes(fleet))
+            changes = (
+                asyncio.create_task(fleet.make_changes(300, 1_500))
+                if options.changes
+                else None
+            )
             for first in range(0, options.stops, options.together):
                 stopped = [
                     fleet.hosts[number % options.gateways]
@@ -50,7 +46,8 @@
                         for host in dict.fromkeys(stopped)
                     )
                 )
-            changes.cancel()
+            if changes is not None:
+                changes.cancel()
             await callers.close()
             # Workers notice the end of a connection a little later.
             await clock.sleep_ms(200)
@@ -66,21 +63,6 @@
     await fleet.stop_gateway(host)
 
 
-async def _make_changes(fleet: stop_fleet.Fleet) -> None:
-    version = 1
-    while fleet.options.changes:
-        await fleet.clock.sleep_ms(fleet.rng.uniform(300, 1_500))
-        version += 1
-        await fleet.configure(version)
-        # SIGHUP ends a process whose interpreter has not started yet.
-        started = sorted(fleet.started & fleet.processes.by_name.keys())
-        if started:
-            with contextlib.suppress(ProcessLookupError):
-                fleet.processes.send_signal(
-                    fleet.rng.choice(started), signal.SIGHUP
-                )
-
-
 @contextlib.asynccontextmanager
 async def busy_processes(count: int) -> AsyncIterator[None]:
     """Runs processes that only use processor time."""
--- a/bench/stop_fleet.py
+++ b/bench/stop_fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import random
+import signal
 from typing import Any
 
 import aiohttp
@@ -234,6 +235,41 @@
         await self.start_gateway(host)
         await self.wait_ready(host)
 
+    def callers(
+        self,
+        count: int,
+        slow_share: float,
+        kinds: tuple[stop_callers.Kind, ...],
+    ) -> stop_callers.Callers:
+        """Returns callers of all gateways, which have not started."""
+        return stop_callers.Callers(
+            count,
+            slow_share,
+            kinds,
+            self.ports["callers"],
+            lambda: self.ready,
+            lambda host: self.starts[host],
+            self.options.seed,
+            self.clock,
+        )
+
+    async def make_changes(self, min_pause_ms: int, max_pause_ms: int) -> None:
+        """Sends configurations and SIGHUP until cancelled."""
+        version = 1
+        while True:
+            await self.clock.sleep_ms(
+                self.rng.uniform(min_pause_ms, max_pause_ms)
+            )
+            version += 1
+            await self.configure(version)
+            # SIGHUP ends a process whose interpreter has not started yet.
+            started = sorted(self.started & self.processes.by_name.keys())
+            if started:
+                with contextlib.suppress(ProcessLookupError):
+                    self.processes.send_signal(
+                        self.rng.choice(started), signal.SIGHUP
+                    )
+
     def logs(self) -> str:
         """Returns what the gateways have logged."""
         return "".join(
--- a/bench/upgrade_trial.py
+++ b/bench/upgrade_trial.py
@@ -106,15 +106,10 @@
         older: upgrade_builds.Build,
         newer: upgrade_builds.Build,
     ) -> upgrade_judge.Report:
-        callers = stop_callers.Callers(
+        callers = fleet.callers(
             self.options.callers,
             0.2,
             upgrade_fleet.kinds(upgrade_fleet.MODELS[0]),
-            fleet.ports["callers"],
-            lambda: fleet.ready,
-            lambda host: fleet.starts[host],
-            self.options.seed,
-            self.clock,
         )
         callers.start()
         await self.clock.sleep_ms(SETTLE_MS)
--- a/bench/version_stops.py
+++ b/bench/version_stops.py
@@ -104,16 +104,7 @@
     async with planned_stops.busy_processes(options.busy):
         try:
             await fleet.start()
-            callers = stop_callers.Callers(
-                options.callers,
-                0.2,
-                version_fleet.kinds(),
-                fleet.ports["callers"],
-                lambda: fleet.ready,
-                lambda host: fleet.starts[host],
-                options.seed,
-                clock,
-            )
+            callers = fleet.callers(options.callers, 0.2, version_fleet.kinds())
             callers.start()
             await clock.sleep_ms(SETTLE_MS)
             await _disturb(fleet, options)
@@ -145,7 +136,7 @@
 
 async def _disturb(fleet: version_fleet.VersionFleet, options: Options) -> None:
     """Stops gateways while other things change."""
-    tasks = [asyncio.create_task(_change(fleet))]
+    tasks = [asyncio.create_task(fleet.make_changes(300, 1_000))]
     if options.silence_ms:
         tasks.append(
             asyncio.create_task(
@@ -200,21 +191,6 @@
         fleet.store.faults[fault] = 0
 
 
-async def _change(fleet: version_fleet.VersionFleet) -> None:
-    """Sends configurations and SIGHUP until cancelled."""
-    version = 1
-    while True:
-        await fleet.clock.sleep_ms(fleet.rng.uniform(300, 1_000))
-        version += 1
-        await fleet.configure(version)
-        started = sorted(fleet.started & fleet.processes.by_name.keys())
-        if started:
-            with contextlib.suppress(ProcessLookupError):
-                fleet.processes.send_signal(
-                    fleet.rng.choice(started), signal.SIGHUP
-                )
-
-
 async def _run_all(options: Options, seeds: int) -> int:
     """Makes several runs; returns how many of them broke a promise."""
     broken = 0
