Move what an attempt shows about its worker into a module

What failures and responses show about a worker (suspicion, a member that a head reports, leaving, limits and rests) moves as it is to gateway.worker_evidence. No behaviour changes; the tests of attempts, the pipeline, rests, limits, partitions and telemetry pass.

--- a/oleanderbay/gateway/attempt.py
+++ b/oleanderbay/gateway/attempt.py
@@ -19,6 +19,7 @@
     stream_relay,
     table,
     worker_client,
+    worker_evidence,
     worker_limits,
     workers,
 )
@@ -56,6 +57,9 @@
         self.stall_policy = stalls.StallPolicy(
             deps.selector, deps.worker_health, deps.retry_budget, deps.clock
         )
+        self.evidence = worker_evidence.WorkerEvidence(
+            deps.selector, deps.worker_health, deps.limits, deps.translator
+        )
 
     async def run(
         self,
@@ -124,7 +128,7 @@
                 )
         except worker_client.AttemptError as error:
             request.may_have_run = had_run or error.may_have_arrived
-            self._record_failure(request, worker, error)
+            self.evidence.record_failure(request, worker, error)
             return response.FailedAttempt(
                 str(error),
                 may_have_run=error.may_have_arrived,
@@ -197,7 +201,7 @@
                 request, worker, worker_response
             )
         except worker_client.AttemptError as error:
-            self._record_failure(request, worker, error)
+            self.evidence.record_failure(request, worker, error)
             failed = response.FailedAttempt(
                 str(error),
                 may_have_run=True,
@@ -220,48 +224,6 @@
                 worker_response.close(reusable)
         return failed
 
-    def _record_failure(
-        self,
-        request: request_state.RequestState,
-        worker: workers.Worker,
-        error: worker_client.AttemptError,
-    ) -> None:
-        if error.expired:
-            return
-        timed_out = error.timed_out and request.service.engine is not None
-        if not error.may_have_arrived or error.unreachable or timed_out:
-            self.deps.worker_health.suspect(worker.id)
-        elif not error.stale_connection and not error.tunnelled:
-            self.deps.worker_health.record_failure(worker.id)
-
-    def _suspect_reported_member(
-        self,
-        head: workers.Worker,
-        worker_response: worker_client.WorkerResponse,
-    ) -> None:
-        """Suspects the group member that the head reports as failed.
-
-        The head is suspected too, since workers are selected by group heads.
-        """
-        member_id = self.deps.translator.failed_worker_id(
-            worker_response.headers
-        )
-        gateway_state = self.deps.selector.gateway_state
-        member = gateway_state.workers.get(
-            member_id
-        ) or gateway_state.missing_members.get(member_id)
-        head_membership = head.membership
-        member_membership = member.membership if member is not None else None
-        if (
-            head_membership is None
-            or member_membership is None
-            or (head_membership.group, head_membership.epoch)
-            != (member_membership.group, member_membership.epoch)
-        ):
-            return
-        self.deps.worker_health.suspect(member_id)
-        self.deps.worker_health.suspect(head.id)
-
     def _matches_request(
         self,
         request: request_state.RequestState,
@@ -285,7 +247,9 @@
         deps = self.deps
         deps.worker_health.record_activity(worker.id)
         if worker_response.status == 503:
-            self._suspect_reported_member(worker, worker_response)
+            self.evidence.suspect_reported_member(
+                worker, worker_response.headers
+            )
         # Data that a worker sent before this request must not answer it.
         if worker_response.reused and not self._matches_request(
             request, worker, worker_response
@@ -301,24 +265,7 @@
             worker_response.status,
             worker_response.headers,
         )
-        if (
-            response_class is not interfaces.ResponseClass.OTHER_WORKER
-            and deps.translator.is_leaving(worker_response.headers)
-        ):
-            deps.selector.gateway_state.mark_draining(worker)
-        if response_class not in (
-            interfaces.ResponseClass.OTHER_WORKER,
-            interfaces.ResponseClass.UNUSABLE,
-        ):
-            deps.limits.record_statement(
-                worker.id,
-                deps.translator.stated_limit_per_s(worker_response.headers),
-            )
-            rest_ms = deps.translator.rest_ms(
-                worker_response.status, worker_response.headers
-            )
-            if rest_ms:
-                deps.selector.rests.record(worker, rest_ms)
+        self.evidence.record_statements(worker, worker_response, response_class)
         if response_class is interfaces.ResponseClass.NOT_RUN:
             return response.FailedAttempt(
                 "the worker refused",
