Count runs beyond the attempts of a route as broken in the rig of stops

The judge of bench.version_stops allowed any number of runs of a request that may be repeated, and a run with a violation of groups counted as one that holds; both were only printed. A request may now run as often as its route has attempts, and violations break the run.

--- a/bench/version_stops.py
+++ b/bench/version_stops.py
@@ -82,7 +82,9 @@
         ran = self.fleet.executions.get(request.id, [])
         # Either of two runs may have ended the answer, and a failure is one.
         allowed = (
-            f"{request.id} ran {len(ran)} times",
+            f"{request.id} ran {len(ran)} times"
+            if len(ran) <= version_fleet.ATTEMPTS
+            else "",
             f"{request.id} was answered with 502",
             f"{request.id} has an answer that is not whole"
             if any(execution.complete for execution in ran)
@@ -122,7 +124,7 @@
     return {
         "version": build.name,
         "seed": options.seed,
-        "holds": report.holds,
+        "holds": report.holds and not fleet.violations,
         **dataclasses.asdict(report),
         "silences": fleet.silences,
         "violations": fleet.violations,
--- a/tests/bench/test_version_stops.py
+++ b/tests/bench/test_version_stops.py
@@ -68,10 +68,18 @@
         (ONCE, [True, True], {}),
         (ONCE, [True], {"status": 502}),
         (REPEATABLE, [False, False], {}),
+        (REPEATABLE, [False, True, True], {}),
         (REPEATABLE, [True, True], {"status": 503}),
         (REPEATABLE, [True], {"body": b"id: 0\n"}),
     ],
-    ids=["ran-twice", "failed", "not-whole", "refused-and-ran", "lacks-events"],
+    ids=[
+        "ran-twice",
+        "failed",
+        "not-whole",
+        "ran-too-often",
+        "refused-and-ran",
+        "lacks-events",
+    ],
 )
 def test_answers_that_are_not_true_break_promises(kind, completed, changes):
     assert judge(kind, completed, **changes).broken
