--- a/review/6/case.py
+++ b/review/6/case.py
@@ -20,14 +20,19 @@
 MODEL = "small"
 SIZE = 2
 WORKERS = 5
-# A copy is carried out this long after it was sent (2 to 12 s by the pages).
-LATE_JOIN_MS = 9_000
-LATE_OPEN_MS = 7_600
-LATE_NEXT_MS = 4_000
-# How many orders to join the next group the head leaves unanswered.
+# The pages: orders that get no answer are carried out 2 to 12 s later.
+LATEST_MS = 12_000
+# The member crashes after its first heartbeat from then on, counted from the
+# head's first order to join.
+CRASH_MS = 4_000
+# When the head carries out its first orders to join and to open, counted from
+# the crash.
+JOIN_COPY_MS = 4_900
+OPEN_COPY_MS = 5_500
+# How many orders to join the next group the head leaves unanswered, and how
+# late it carries them out.
 UNANSWERED = 3
-# How long before the late copy to join a member crashes.
-CRASH_BEFORE_MS = 4_300
+NEXT_COPY_MS = 4_000
 LOAD_MS = 1_100
 FORM_MS = 300
 CALLERS = 6
@@ -81,6 +86,7 @@
         notes: Where it writes what happens.
         former: Key of the first group that it is the head of; None before.
         joined_ms: When the first order to join that group came.
+        crash_seen: Set when the member crashes.
         late_orders: Number of orders that were left unanswered.
         all_orders: Number of all orders.
         violations: Joins that it took while its own group was open.
@@ -97,6 +103,7 @@
         self.notes = record
         self.former: tuple[str, int] | None = None
         self.joined_ms = 0
+        self.crash_seen = asyncio.Event()
         self.late_orders = 0
         self.all_orders = 0
         self.violations: list[str] = []
@@ -134,7 +141,10 @@
         raise AssertionError
 
     def _late_ms(self, order: dict[str, Any]) -> int | None:
-        """Returns how late an order is carried out; None if at once."""
+        """Returns how late an order is carried out; None if at once.
+
+        Those of the former group count from the crash.
+        """
         operation = order["operation"]
         if not self.trouble or operation not in ("join", "open"):
             return None
@@ -149,19 +159,25 @@
             self._seen.add((operation, order["group"]))
             if not first:
                 return None
-            return LATE_JOIN_MS if operation == "join" else LATE_OPEN_MS
+            return JOIN_COPY_MS if operation == "join" else OPEN_COPY_MS
         if operation == "join" and self._next_joins < UNANSWERED:
             self._next_joins += 1
-            return LATE_NEXT_MS
+            return NEXT_COPY_MS
         return None
 
     async def _carry_out(self, order: dict[str, Any], late_ms: int) -> None:
+        sent_ms = rig_2.now_ms()
+        if self.former == (order["group"], order["epoch"]):
+            await self.crash_seen.wait()
         await asyncio.sleep(late_ms / 1000)
         before = self.group
+        passed_ms = rig_2.now_ms() - sent_ms
+        if passed_ms > LATEST_MS:
+            raise rig_2.CannotRunError("a copy is too late")
         status = self.obey(order)
         self.notes.log(
             f"{self.id} carries out {order['operation']} {order['group']}, "
-            f"{late_ms} ms late: {status:d}, before: {before}"
+            f"{passed_ms} ms after it was sent: {status:d}, before: {before}"
         )
 
 
@@ -222,11 +238,18 @@
             for n in range(CALLERS)
         ]
         member = next(w for w in workers if w.id == head.members[1])
-        wait_ms = head.joined_ms + LATE_JOIN_MS - CRASH_BEFORE_MS
         if trouble:
-            await asyncio.sleep(max(0, wait_ms - rig_2.now_ms()) / 1000)
+            left_ms = head.joined_ms + CRASH_MS - rig_2.now_ms()
+            await asyncio.sleep(max(0, left_ms) / 1000)
+            assert member.registration is not None
+            written_ms = member.registration.written_ms
+            for _ in range(2 * rig_2.HEARTBEAT_MS // 5):
+                if member.registration.written_ms != written_ms:
+                    break
+                await asyncio.sleep(0.005)
             record.say(f"its member {member.id} crashes")
             await member.crash()
+            head.crash_seen.set()
         await asyncio.sleep(END_S)
         violations = [line for w in workers for line in w.violations]
         record.say(
