--- a/review/6/case.py
+++ b/review/6/case.py
@@ -268,4 +268,4 @@
 
 
 if __name__ == "__main__":
-    rig_2.main(pathlib.Path(__file__).parent, case)
+    rig_2.main(pathlib.Path(__file__).with_name("record.txt"), case)
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -46,9 +46,9 @@
 class Record:
     """Writes what happens, with the time since the start of the case."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, path: pathlib.Path) -> None:
         self.started_ms = now_ms()
-        self.file = (folder / "record.txt").open("w", encoding="utf-8")
+        self.file = path.open("w", encoding="utf-8")
 
     def log(self, line: str) -> None:
         """Writes one line."""
@@ -336,15 +336,15 @@
         self.temporary.cleanup()
 
 
-def main(folder: pathlib.Path, case: Any) -> None:
+def main(path: pathlib.Path, case: Any) -> None:
     """Runs a case and exits with its result.
 
     Args:
-        folder: Where the record is written.
+        path: File that the record is written to.
         case: Called with the record and with whether there is trouble; returns
             whether the rule was broken.
     """
-    record = Record(folder)
+    record = Record(path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.say(f"trouble: {'yes' if trouble else 'no'}")
     try:
