--- a/review/6/case.py
+++ b/review/6/case.py
@@ -200,7 +200,7 @@
     sent = 0
     while True:
         sent += 1
-        connection = await rig_2.Connection.open(gateway.host, rig.front_port)
+        connection = await gateway.connect()
         await connection.request(
             "POST",
             "/stream/x?events=20",
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -86,9 +86,7 @@
         connection: rig_2.Connection | None = None
         while True:
             if connection is None:
-                connection = await rig_2.Connection.open(
-                    gateway.host, self.rig.front_port
-                )
+                connection = await gateway.connect()
             self._sent += 1
             answer = await connection.request(
                 "POST",
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 from typing import Any
 
 from oleanderbay.platform import names
@@ -54,11 +55,11 @@
         """Writes one line."""
         seconds = (now_ms() - self.started_ms) / 1000
         self.file.write(f"{seconds:8.3f} {line}\n")
-        self.file.flush()
 
     def say(self, line: str) -> None:
         """Writes one line to the record and to standard output."""
         self.log(line)
+        self.file.flush()
         print(line, flush=True)
 
 
@@ -93,6 +94,7 @@
         self.reader = reader
         self.writer = writer
         self.answered = 0
+        self.log: Callable[[str], None] = lambda _: None
 
     @classmethod
     async def open(cls, host: str, port: int) -> "Connection":
@@ -113,6 +115,20 @@
         timeout_s: float = 10,
     ) -> Answer:
         """Sends one request and reads its answer."""
+        name = headers.get(names.REQUEST_ID, "")
+        self.log(f"{name} is sent")
+        answer = await self._exchange(method, path, headers, body, timeout_s)
+        self.log(f"{name} is answered: {answer.status or answer.error}")
+        return answer
+
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> Answer:
         lines = [f"{method} {path} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         if body or method == "POST":
@@ -214,6 +230,14 @@
             "bounds": BOUNDS,
         }
 
+    async def connect(self) -> Connection:
+        """Opens a caller's connection, of which the record tells."""
+        connection = await Connection.open(self.host, self.rig.front_port)
+        connection.log = lambda line: self.rig.record.log(
+            f"{self.node}: {line}"
+        )
+        return connection
+
     async def is_ready(self) -> bool:
         """Asks the process once whether it is ready."""
         try:
@@ -353,4 +377,5 @@
         record.say(f"the case could not run: {error!r}")
         sys.exit(2)
     record.say("the rule was broken" if broken else "the rule held")
+    record.file.close()
     sys.exit(1 if broken else 0)
--- a/review/workers_2.py
+++ b/review/workers_2.py
@@ -192,8 +192,12 @@
             async with self._free:
                 run = Run(request_id, self.id, arrived_ms)
                 self.runs.append(run)
+                self.rig.record.log(f"{self.id} runs {request_id}")
                 await asyncio.sleep(self.work_ms / 1000)
                 run.complete = True
+        except asyncio.CancelledError:
+            self.rig.record.log(f"{self.id} breaks {request_id} off")
+            raise
         finally:
             self._present -= 1
         return web.Response(
